Parse and check the documents and the daemon's settings

Operators' documents were declared but not read. A table of fields (key, kind, unit, default, meaning, setter) now drives the parser, the command line, the help text and the references, so none of them can differ from the others. Every fault is reported with file, line and key.

--- /dev/null
+++ b/src/libs/documents/daemonsettings.cpp
@@ -0,0 +1,438 @@
+#include "libs/documents/daemonsettings.h"
+
+#include "libs/base/asyncerror.h"
+#include "libs/documents/checks.h"
+#include "libs/documents/endpoints.h"
+#include "libs/documents/tablereader.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+#include <boost/program_options.hpp>
+
+namespace mulberry {
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace po = boost::program_options;
+
+constexpr std::string_view command_line_name = "command line";
+constexpr std::string_view memory_store_name = "memory";
+constexpr std::string_view endpoint_unit = "address:port";
+constexpr std::uint64_t mebibyte = 1024ULL * 1024;
+
+std::string endpoint_fault(std::string_view text)
+{
+    return fmt::format("must have the form address:port, not \"{}\"", text);
+}
+
+detail::field<daemon_settings> listen_field(std::string key, std::string default_text,
+                                            network_endpoint daemon_settings::*member, std::string meaning)
+{
+    return {{std::move(key), detail::value_kind::text, std::string(endpoint_unit), false, std::move(default_text),
+             std::move(meaning)},
+            [member](daemon_settings& target, const detail::field_value& value) {
+                const auto& text = std::get<std::string>(value);
+                const auto endpoint = parse_endpoint(text);
+                if (!endpoint)
+                    return endpoint_fault(text);
+                target.*member = *endpoint;
+                return std::string();
+            }};
+}
+
+std::string set_seeds(daemon_settings& target, const detail::field_value& value)
+{
+    for (const std::string& text : std::get<std::vector<std::string>>(value)) {
+        const auto endpoint = parse_endpoint(text);
+        if (!endpoint || endpoint->port == 0)
+            return endpoint_fault(text);
+        target.seeds.push_back(*endpoint);
+    }
+    return {};
+}
+
+std::string set_store(daemon_settings& target, const detail::field_value& value)
+{
+    const auto& list = std::get<std::vector<std::string>>(value);
+    if (list.empty())
+        return fmt::format("must be \"{}\" or at least one URL", memory_store_name);
+    if (list.size() == 1 && list.front() == memory_store_name) {
+        target.store_in_memory = true;
+        return {};
+    }
+    for (const std::string& url : list) {
+        if (std::string fault = detail::check_base_url(url); !fault.empty())
+            return fault;
+    }
+    target.store_endpoints = list;
+    return {};
+}
+
+std::string set_second_signal(daemon_settings& target, const detail::field_value& value)
+{
+    const auto& text = std::get<std::string>(value);
+    if (text != "ignore" && text != "cut")
+        return fmt::format("must be ignore or cut, not \"{}\"", text);
+    target.second_signal = text == "cut" ? second_signal_action::cut : second_signal_action::ignore;
+    return {};
+}
+
+std::string set_log_level_field(daemon_settings& target, const detail::field_value& value)
+{
+    const auto& text = std::get<std::string>(value);
+    const auto level = log_level_from_string(text);
+    if (!level)
+        return fmt::format("must be debug, info, warning, error or off, not \"{}\"", text);
+    target.level = *level;
+    return {};
+}
+
+detail::field<daemon_settings> file_field(std::string key, std::string daemon_settings::*member, std::string meaning)
+{
+    return detail::text_field(std::move(key), "file", "", member, detail::check_any_text, std::move(meaning));
+}
+
+void add_identity_fields(detail::field_table<daemon_settings>& fields)
+{
+    using settings = daemon_settings;
+    fields.push_back(required(detail::text_field("node_name", "name", "", &settings::node_name, detail::check_name,
+                                                 "Name of the node, unique in the fleet.")));
+    fields.push_back(required(detail::text_field("failure_domain", "name", "", &settings::failure_domain,
+                                                 detail::check_name, "Failure domain, unique across regions.")));
+    fields.push_back(
+        required(detail::text_field("region", "name", "", &settings::region, detail::check_name, "Region.")));
+    fields.push_back(required(detail::text_field("service", "name", "", &settings::service, detail::check_service_name,
+                                                 "Service of the upstream beside the daemon.")));
+    fields.push_back(required(detail::text_field("upstream_url", "http://address:port", "", &settings::upstream_url,
+                                                 detail::check_base_url, "Base URL of the upstream.")));
+}
+
+void add_listen_fields(detail::field_table<daemon_settings>& fields)
+{
+    using settings = daemon_settings;
+    fields.push_back(listen_field("callers_listen", "0.0.0.0:8600", &settings::callers_listen,
+                                  "Where callers connect. Port 0 of a listener lets the system choose."));
+    fields.push_back(listen_field("nested_listen", "127.0.0.1:8601", &settings::nested_listen,
+                                  "Where the upstream sends its nested calls."));
+    fields.push_back(listen_field("peers_listen", "", &settings::peers_listen,
+                                  "Where other daemons connect; without it the daemon has no peers."));
+    fields.push_back(listen_field("peers_advertised", "", &settings::peers_advertised,
+                                  "Where other daemons reach this one; `peers_listen` if it is not given."));
+    fields.push_back(listen_field("operators_listen", "", &settings::operators_listen,
+                                  "Where mulberryctl connects; without it the operators' API is off."));
+    fields.push_back(file_field("operator_credential_file", &settings::operator_credential_file,
+                                "File with the bearer credential of the operators' API. Required with "
+                                "`operators_listen`."));
+    fields.push_back(detail::integer_field("caller_connections", "connections", "1000", &settings::caller_connections,
+                                           1, 100'000, "Connections from callers at a time."));
+    fields.push_back(detail::integer_field("upstream_connections", "connections", "256",
+                                           &settings::upstream_connections, 1, 10'000,
+                                           "Connections to the upstream at a time."));
+    fields.push_back(detail::size_field("header_cap", "64KiB", &settings::header_cap_bytes, 1024, mebibyte,
+                                        "Largest size of all headers of a request together."));
+}
+
+void add_tls_fields(detail::field_table<daemon_settings>& fields)
+{
+    using settings = daemon_settings;
+    fields.push_back(file_field("peer_ca_file", &settings::peer_ca_file,
+                                "PEM certificate of the authority for daemons. Required with `peers_listen`."));
+    fields.push_back(file_field("peer_certificate_file", &settings::peer_certificate_file,
+                                "PEM certificate of this daemon. Required with `peers_listen`."));
+    fields.push_back(file_field("peer_private_key_file", &settings::peer_private_key_file,
+                                "PEM private key of this daemon. Required with `peers_listen`."));
+    fields.push_back(file_field("server_certificate_file", &settings::server_certificate_file,
+                                "PEM certificate shown to callers and operators; plain HTTP without it."));
+    fields.push_back(file_field("server_private_key_file", &settings::server_private_key_file,
+                                "PEM private key of that certificate."));
+}
+
+void add_store_fields(detail::field_table<daemon_settings>& fields)
+{
+    using settings = daemon_settings;
+    fields.push_back(required(detail::field<settings>{
+        {"store", detail::value_kind::text_list, "`memory`, or a list of http://address:port", false, "",
+         "Endpoints of the store's gateway in the order of use; `memory` keeps the store in the daemon, for a "
+         "single machine."},
+        set_store}));
+    fields.push_back(file_field("store_ca_file", &settings::store_ca_file,
+                                "PEM certificate of the authority for https endpoints of the store; the system's "
+                                "authorities without it."));
+    fields.push_back(detail::duration_field("store_timeout", "2s", &settings::store_timeout, 10ms, 1min,
+                                            "Longest time of one call to the store."));
+    fields.push_back({{"seeds", detail::value_kind::text_list, "list, each: address:port", false, "",
+                       "Peer addresses of other daemons to join at the start."},
+                      set_seeds});
+    fields.push_back(detail::list_field("document_files", "file", &settings::document_files, detail::check_any_text,
+                                        "Documents loaded at the start. Only with the store `memory`."));
+}
+
+void add_operation_fields(detail::field_table<daemon_settings>& fields)
+{
+    using settings = daemon_settings;
+    fields.push_back(detail::duration_field("drain_limit", "30s", &settings::drain_limit, 0us, 1h,
+                                            "Longest time of a planned stop; what is in flight then is cut."));
+    fields.push_back({{"second_signal", detail::value_kind::text, "ignore or cut", false, "cut",
+                       "Effect of a second termination signal: the drain goes on, or what is in flight is cut."},
+                      set_second_signal});
+    fields.push_back({{"log_level", detail::value_kind::text, "debug, info, warning, error or off", false, "info",
+                       "Log lines below this level are not written."},
+                      set_log_level_field});
+    fields.push_back(detail::size_field("account_memory", "16MiB", &settings::account_memory_bytes, mebibyte,
+                                        1024 * mebibyte, "Memory for decision records."));
+    fields.push_back(detail::size_field("once_memory", "8MiB", &settings::once_memory_bytes, 64ULL * 1024,
+                                        1024 * mebibyte, "Memory for records of non-idempotent requests."));
+}
+
+/// The one table behind the parser, the command line, the help text and the reference.
+const detail::field_table<daemon_settings>& settings_fields()
+{
+    static const detail::field_table<daemon_settings> fields = [] {
+        detail::field_table<daemon_settings> table;
+        add_identity_fields(table);
+        add_listen_fields(table);
+        add_tls_fields(table);
+        add_store_fields(table);
+        add_operation_fields(table);
+        return table;
+    }();
+    return fields;
+}
+
+bool is_wildcard(const std::string& address)
+{
+    return address == "0.0.0.0" || address == "::";
+}
+
+/// Checks rules between settings and completes the advertised address. Faults belong to the place of the key that
+/// asks for the other one.
+class settings_checker {
+public:
+    settings_checker(daemon_settings& settings, const detail::found_values& found, std::string_view file,
+                     std::vector<document_error>& errors)
+        : m_settings(settings), m_found(found), m_file(file), m_errors(errors)
+    {
+    }
+
+    void check()
+    {
+        check_peers();
+        if (is_on(m_settings.operators_listen))
+            demand("operators_listen", "operator_credential_file", m_settings.operator_credential_file);
+        if (!m_settings.server_certificate_file.empty())
+            demand("server_certificate_file", "server_private_key_file", m_settings.server_private_key_file);
+        if (!m_settings.server_private_key_file.empty())
+            demand("server_private_key_file", "server_certificate_file", m_settings.server_certificate_file);
+        if (!m_settings.document_files.empty() && !m_settings.store_in_memory)
+            report("document_files", "is only possible with store = \"memory\"");
+    }
+
+private:
+    static bool is_on(const network_endpoint& endpoint) { return !endpoint.address.empty(); }
+
+    void check_peers()
+    {
+        if (!is_on(m_settings.peers_listen)) {
+            if (!m_settings.seeds.empty())
+                report("seeds", "needs peers_listen");
+            if (is_on(m_settings.peers_advertised))
+                report("peers_advertised", "needs peers_listen");
+            return;
+        }
+        demand("peers_listen", "peer_ca_file", m_settings.peer_ca_file);
+        demand("peers_listen", "peer_certificate_file", m_settings.peer_certificate_file);
+        demand("peers_listen", "peer_private_key_file", m_settings.peer_private_key_file);
+        if (is_on(m_settings.peers_advertised)) {
+            if (is_wildcard(m_settings.peers_advertised.address))
+                report("peers_advertised", "must be an address that other daemons can reach");
+            return;
+        }
+        if (is_wildcard(m_settings.peers_listen.address))
+            report("peers_listen", "is a wildcard address and needs peers_advertised");
+        m_settings.peers_advertised = m_settings.peers_listen;
+    }
+
+    void demand(std::string_view key, std::string_view needed_key, const std::string& needed)
+    {
+        if (needed.empty() && !m_found.contains(needed_key))
+            report(key, fmt::format("needs {}", needed_key));
+    }
+
+    void report(std::string_view key, std::string message)
+    {
+        document_error error{std::string(m_file), 0, std::string(key), std::move(message)};
+        if (const auto it = m_found.find(key); it != m_found.end()) {
+            error.file = it->second.file;
+            error.line = it->second.line;
+        }
+        m_errors.push_back(std::move(error));
+    }
+
+    daemon_settings& m_settings;
+    const detail::found_values& m_found;
+    std::string_view m_file;
+    std::vector<document_error>& m_errors;
+};
+
+/// False after a syntax error, which hides all keys.
+bool read_settings_text(std::string_view text, std::string_view file, detail::found_values& found,
+                        std::vector<document_error>& errors)
+{
+    const auto table = detail::parse_toml(text, file, errors);
+    if (!table)
+        return false;
+    detail::table_reader reader(*table, std::string(file), "", errors);
+    found = reader.collect(detail::infos_of(settings_fields()), {});
+    return true;
+}
+
+leaf::result<daemon_settings> settings_from(const detail::found_values& found, std::string_view file,
+                                            std::vector<document_error> errors)
+{
+    daemon_settings settings;
+    detail::apply_fields(settings, settings_fields(), found, "", file, 0, errors);
+    settings_checker(settings, found, file, errors).check();
+    if (!errors.empty())
+        return captured_error<daemon_settings>(detail::sorted(std::move(errors)));
+    return settings;
+}
+
+std::string option_name(std::string key)
+{
+    std::ranges::replace(key, '_', '-');
+    return key;
+}
+
+po::options_description command_line_options()
+{
+    po::options_description options("Options");
+    auto add = options.add_options();
+    add("help", "Shows this text.");
+    add("settings-reference", "Shows the reference of all settings.");
+    add("settings", po::value<std::string>(), "Settings file; an option below replaces its key.");
+    for (const auto& [info, set] : settings_fields()) {
+        std::string text = info.meaning + " (" + info.unit;
+        if (!info.default_text.empty())
+            text += "; default " + info.default_text;
+        text += ")";
+        add(option_name(info.key).c_str(), po::value<std::vector<std::string>>(), text.c_str());
+    }
+    return options;
+}
+
+void add_command_line_error(std::vector<document_error>& errors, std::string key, std::string message)
+{
+    errors.push_back({std::string(command_line_name), 0, std::move(key), std::move(message)});
+}
+
+/// Replaces the values of the file by those of the command line.
+void apply_command_line(const po::variables_map& variables, detail::found_values& found,
+                        std::vector<document_error>& errors)
+{
+    for (const auto& [info, set] : settings_fields()) {
+        const auto it = variables.find(option_name(info.key));
+        if (it == variables.end())
+            continue;
+        const auto& texts = it->second.as<std::vector<std::string>>();
+        if (info.kind != detail::value_kind::text_list && texts.size() > 1) {
+            add_command_line_error(errors, info.key, "is given more than once");
+            continue;
+        }
+        std::optional<detail::field_value> value = texts;
+        if (info.kind != detail::value_kind::text_list)
+            value = detail::value_from_text(info.kind, texts.front());
+        if (!value)
+            add_command_line_error(errors, info.key, fmt::format("must be a {}", detail::describe(info.kind)));
+        found.insert_or_assign(info.key, detail::found_value{std::move(value), std::string(command_line_name), 0});
+    }
+}
+
+/// Empty after a syntax error, which is added to the errors.
+std::optional<po::variables_map> parse_arguments(std::span<const std::string> arguments,
+                                                 const po::options_description& options,
+                                                 std::vector<document_error>& errors)
+{
+    constexpr int style = po::command_line_style::unix_style & ~po::command_line_style::allow_guessing;
+    po::variables_map variables;
+    try {
+        po::parsed_options parsed = po::command_line_parser(std::vector(arguments.begin(), arguments.end()))
+                                        .options(options)
+                                        .style(style)
+                                        .allow_unregistered()
+                                        .run();
+        for (const std::string& unknown : po::collect_unrecognized(parsed.options, po::include_positional))
+            add_command_line_error(errors, unknown, "is not a known option");
+        po::store(parsed, variables);
+    }
+    catch (const po::error& error) {
+        add_command_line_error(errors, "", error.what());
+        return std::nullopt;
+    }
+    return variables;
+}
+
+std::optional<std::string> read_file(const std::string& name)
+{
+    std::ifstream stream(name, std::ios::binary);
+    if (!stream)
+        return std::nullopt;
+    std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+    return stream.bad() ? std::nullopt : std::optional(std::move(text));
+}
+
+} // namespace
+
+leaf::result<daemon_settings> parse_daemon_settings(std::string_view text, std::string_view file)
+{
+    std::vector<document_error> errors;
+    detail::found_values found;
+    if (!read_settings_text(text, file, found, errors))
+        return captured_error<daemon_settings>(document_errors{std::move(errors)});
+    return settings_from(found, file, std::move(errors));
+}
+
+leaf::result<daemon_command_line> parse_daemon_command_line(std::span<const std::string> arguments)
+{
+    std::vector<document_error> errors;
+    const auto variables = parse_arguments(arguments, command_line_options(), errors);
+    if (!variables)
+        return captured_error<daemon_command_line>(document_errors{std::move(errors)});
+    if (variables->contains("help"))
+        return daemon_command_line{daemon_command_line::action::show_help, {}};
+    if (variables->contains("settings-reference"))
+        return daemon_command_line{daemon_command_line::action::show_settings_reference, {}};
+    detail::found_values found;
+    std::string file(command_line_name);
+    if (variables->contains("settings")) {
+        file = (*variables)["settings"].as<std::string>();
+        const auto text = read_file(file);
+        if (!text)
+            errors.push_back({file, 0, "", "cannot be read"});
+        if (!text || !read_settings_text(*text, file, found, errors))
+            return captured_error<daemon_command_line>(document_errors{std::move(errors)});
+    }
+    apply_command_line(*variables, found, errors);
+    leaf::result<daemon_settings> settings = settings_from(found, file, std::move(errors));
+    if (!settings)
+        return std::move(settings).error();
+    return daemon_command_line{daemon_command_line::action::run, std::move(*settings)};
+}
+
+std::string settings_reference()
+{
+    return detail::reference_table(detail::infos_of(settings_fields()));
+}
+
+std::string daemon_usage()
+{
+    std::ostringstream text;
+    text << "Usage: mulberryd [--settings FILE] [options]\n\n" << command_line_options();
+    return text.str();
+}
+
+} // namespace mulberry
--- a/src/libs/documents/daemonsettings.h
+++ b/src/libs/documents/daemonsettings.h
@@ -47,12 +47,14 @@
 
     network_endpoint callers_listen;
     network_endpoint nested_listen;
+    /// Off when the address is empty; the daemon then has no peers.
     network_endpoint peers_listen;
+    /// Off when the address is empty.
     network_endpoint operators_listen;
-    /// Where other daemons reach this one; peers_listen when the address is empty.
+    /// Where other daemons reach this one; empty without peers_listen, otherwise complete and not a wildcard address.
     network_endpoint peers_advertised;
 
-    /// Mutual TLS between daemons, PEM.
+    /// Mutual TLS between daemons, PEM. Present with peers_listen.
     std::string peer_ca_file;
     std::string peer_certificate_file;
     std::string peer_private_key_file;
@@ -64,6 +66,8 @@
     bool store_in_memory = false;
     /// Base URLs of the store's gateway, tried in this order; empty with store_in_memory.
     std::vector<std::string> store_endpoints;
+    /// Certificate authority for https endpoints of the store, PEM; the system's authorities when empty.
+    std::string store_ca_file;
     duration store_timeout{0};
     /// Other daemons to join at the start.
     std::vector<network_endpoint> seeds;
@@ -73,7 +77,7 @@
     duration drain_limit{0};
     second_signal_action second_signal = second_signal_action::cut;
     log_level level = log_level::info;
-    /// File with the bearer credential of the operators' API; the API is off when empty.
+    /// File with the bearer credential of the operators' API; present with operators_listen.
     std::string operator_credential_file;
 
     std::uint32_t caller_connections = 0;
--- /dev/null
+++ b/src/libs/documents/documentreference.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace mulberry {
+
+/// Markdown tables of the keys of each document, from the tables that the parsers use.
+std::string service_document_reference();
+std::string organisations_document_reference();
+
+} // namespace mulberry
--- a/src/libs/documents/organisationsdocument.h
+++ b/src/libs/documents/organisationsdocument.h
@@ -2,8 +2,9 @@
 
 #include "libs/base/time.h"
 #include "libs/documents/documenterrors.h"
-#include "libs/documents/organisationkey.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,19 @@
 constexpr duration default_view_age_limit = std::chrono::seconds(2);
 constexpr duration longest_view_age_limit = std::chrono::hours(1);
 
+/// What the document holds of a key. The id is unique in the document and is no secret.
+struct organisation_key {
+    static constexpr std::size_t salt_bytes = 16;
+    static constexpr std::size_t hash_bytes = 32;
+
+    std::string id;
+    /// As many bytes as the constants say.
+    std::vector<std::uint8_t> salt;
+    std::vector<std::uint8_t> hash;
+
+    bool operator==(const organisation_key&) const = default;
+};
+
 /// A customer with its limits across all VMs together.
 struct organisation {
     std::string name;
