--- /dev/null
+++ b/src/tools/standinupstream/runcounter.cpp
@@ -0,0 +1,39 @@
+#include "tools/standinupstream/runcounter.h"
+
+namespace mulberry {
+
+void run_counter::add(std::string_view body)
+{
+    if (body.empty())
+        return;
+    const std::lock_guard lock(m_mutex);
+    ++m_runs[std::string(body)];
+}
+
+std::uint64_t run_counter::runs_of(std::string_view body) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_runs.find(body);
+    return it == m_runs.end() ? 0 : it->second;
+}
+
+std::size_t run_counter::distinct() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs.size();
+}
+
+std::vector<repeated_body> run_counter::repeated(std::size_t most) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<repeated_body> found;
+    for (const auto& [body, runs] : m_runs) {
+        if (found.size() == most)
+            break;
+        if (runs > 1)
+            found.push_back({body, runs});
+    }
+    return found;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/tools/standinupstream/slotpool.cpp
@@ -0,0 +1,47 @@
+#include "tools/standinupstream/slotpool.h"
+
+#include <algorithm>
+
+namespace mulberry {
+
+bool slot_pool::acquire(bool wait)
+{
+    std::unique_lock lock(m_mutex);
+    const bool free = m_busy < m_slots && m_served_tickets == m_next_ticket;
+    if (!free && !wait)
+        return false;
+    const std::uint64_t ticket = m_next_ticket++;
+    m_changed.wait(lock, [&] { return m_served_tickets == ticket && m_busy < m_slots; });
+    ++m_served_tickets;
+    ++m_busy;
+    m_peak = std::max(m_peak, m_busy);
+    m_changed.notify_all();
+    return true;
+}
+
+void slot_pool::release()
+{
+    const std::lock_guard lock(m_mutex);
+    --m_busy;
+    m_changed.notify_all();
+}
+
+std::uint32_t slot_pool::busy() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_busy;
+}
+
+std::uint64_t slot_pool::waiting() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_next_ticket - m_served_tickets;
+}
+
+std::uint32_t slot_pool::peak() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_peak;
+}
+
+} // namespace mulberry
