Add the store client for the etcd v3 JSON gateway

The store interface had only the implementation in memory. etcd_store speaks to the gateway over the http_client interface. A write is reported as unavailable only if it certainly had no effect: the request did not leave, or the store reported a code that it gives only for rejected requests. Unavailable, deadline and internal errors of the store also come for writes that take effect later, so they are unknown_outcome. Reads and certain refusals move on to the next endpoint. Answers are checked against the request (key, order, revisions), since a proxy or a faulty store may answer with anything.

--- /dev/null
+++ b/src/libs/store/etcdstore.cpp
@@ -0,0 +1,341 @@
+#include "libs/store/etcdstore.h"
+
+#include "libs/base/asyncerror.h"
+#include "libs/store/etcderrors.h"
+#include "libs/store/etcdwatch.h"
+#include "libs/store/gatewaycodec.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace mulberry {
+
+using detail::call_kind;
+using detail::etcd_watch;
+
+namespace {
+
+constexpr int status_ok = 200;
+const http_headers json_headers{{"Content-Type", "application/json"}};
+
+template <typename Result>
+using callback = std::function<void(leaf::result<Result>)>;
+
+/// A call with the endpoints that it may still try.
+template <typename Result>
+struct pending_call {
+    std::string_view path;
+    std::string body;
+    call_kind kind = call_kind::write;
+    /// Reads the body of an answer with status 200. No value stands for an answer that the protocol does not allow; an
+    /// error is one that the store reports in an answer of this status.
+    std::function<std::optional<leaf::result<Result>>(const std::string&)> read;
+    callback<Result> done;
+    time_point end{};
+    std::size_t endpoint = 0;
+    std::size_t endpoints_left = 0;
+    http_call_id id = 0;
+};
+
+/// Turns a reader that gives an optional into one that a call takes.
+template <typename Result, typename Reader>
+auto value_reader(Reader reader)
+{
+    return [reader = std::move(reader)](const std::string& body) -> std::optional<leaf::result<Result>> {
+        auto value = reader(body);
+        if (!value)
+            return std::nullopt;
+        return leaf::result<Result>(std::move(*value));
+    };
+}
+
+} // namespace
+
+class etcd_store::implementation final : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(http_client& http, timer_service& timers, etcd_store_settings settings)
+        : m_http(http), m_timers(timers), m_settings(std::move(settings))
+    {
+    }
+
+    template <typename Result>
+    void start(pending_call<Result> call)
+    {
+        auto shared = std::make_shared<pending_call<Result>>(std::move(call));
+        shared->end = m_timers.now() + m_settings.timeout;
+        shared->endpoint = m_preferred;
+        shared->endpoints_left = m_settings.endpoints.size();
+        attempt(std::move(shared));
+    }
+
+    /// Calls back with an error that needs no request.
+    template <typename Result>
+    void refuse(callback<Result> done, store_error error)
+    {
+        m_timers.schedule(duration{0}, [weak = weak_from_this(), done = std::move(done), error] {
+            if (const auto self = weak.lock())
+                done(captured_error<Result>(error));
+        });
+    }
+
+    watch_id watch(std::string_view prefix, std::int64_t from_revision, watch_callback on_change);
+    void cancel_watch(watch_id id);
+    void stop();
+
+private:
+    template <typename Result>
+    void attempt(std::shared_ptr<pending_call<Result>> call)
+    {
+        http_request request{"POST", m_settings.endpoints[call->endpoint] + std::string(call->path), json_headers,
+                             call->body, call->end - m_timers.now()};
+        // A read leaves time for the other endpoints; a write is not sent again after it timed out.
+        if (call->kind == call_kind::read)
+            request.timeout /= static_cast<duration::rep>(call->endpoints_left);
+        call->id = m_http.send(std::move(request), [weak = weak_from_this(), call](leaf::result<http_answer> answer) {
+            if (const auto self = weak.lock())
+                self->on_answer(call, std::move(answer));
+        });
+        m_calls.insert(call->id);
+    }
+
+    template <typename Result>
+    void on_answer(const std::shared_ptr<pending_call<Result>>& call, leaf::result<http_answer> answer)
+    {
+        m_calls.erase(call->id);
+        if (!answer)
+            return fail(call, store_error_of(call->kind, error_of(std::move(answer), http_error::connection_lost)));
+        auto result = answer->status == status_ok ? call->read(answer->body) : std::nullopt;
+        if (!result)
+            return fail(call, store_error_of(call->kind, *answer));
+        m_preferred = call->endpoint;
+        call->done(std::move(*result));
+    }
+
+    template <typename Result>
+    void fail(const std::shared_ptr<pending_call<Result>>& call, store_error error)
+    {
+        --call->endpoints_left;
+        call->endpoint = after_failure(call->endpoint);
+        const bool again =
+            detail::may_fail_over(call->kind, error) && call->endpoints_left > 0 && call->end > m_timers.now();
+        if (again)
+            return attempt(call);
+        call->done(captured_error<Result>(error));
+    }
+
+    /// The endpoint to try next; later calls start there as well.
+    std::size_t after_failure(std::size_t endpoint)
+    {
+        const std::size_t next = (endpoint + 1) % m_settings.endpoints.size();
+        if (m_preferred == endpoint)
+            m_preferred = next;
+        return next;
+    }
+
+    void open_stream(watch_id id, const std::shared_ptr<etcd_watch>& watch);
+    void on_piece(watch_id id, const std::shared_ptr<etcd_watch>& watch, std::string_view piece);
+    void on_stream_end(watch_id id, const std::shared_ptr<etcd_watch>& watch, leaf::result<http_answer> answer);
+    void end_watch(watch_id id, const std::shared_ptr<etcd_watch>& watch, store_error error);
+
+    http_client& m_http;
+    timer_service& m_timers;
+    etcd_store_settings m_settings;
+    std::size_t m_preferred = 0;
+    std::set<http_call_id> m_calls;
+    std::map<watch_id, std::shared_ptr<etcd_watch>> m_watches;
+    watch_id m_last_watch = 0;
+};
+
+watch_id etcd_store::implementation::watch(std::string_view prefix, std::int64_t from_revision,
+                                           watch_callback on_change)
+{
+    const watch_id id = ++m_last_watch;
+    auto added = std::make_shared<etcd_watch>(std::string(prefix), from_revision, std::move(on_change));
+    added->endpoint = m_preferred;
+    added->endpoints_left = m_settings.endpoints.size();
+    m_watches[id] = added;
+    open_stream(id, added);
+    return id;
+}
+
+void etcd_store::implementation::open_stream(watch_id id, const std::shared_ptr<etcd_watch>& watch)
+{
+    http_request request{"POST", m_settings.endpoints[watch->endpoint] + std::string(gateway::watch_path), json_headers,
+                         gateway::watch_request(gateway::prefix_begin(watch->prefix()),
+                                                gateway::prefix_end(watch->prefix()), watch->next_revision()),
+                         duration{0}};
+    watch->call = m_http.stream(
+        std::move(request),
+        [weak = weak_from_this(), id, watch](std::string_view piece) {
+            if (const auto self = weak.lock())
+                self->on_piece(id, watch, piece);
+        },
+        [weak = weak_from_this(), id, watch](leaf::result<http_answer> answer) {
+            if (const auto self = weak.lock())
+                self->on_stream_end(id, watch, std::move(answer));
+        });
+}
+
+void etcd_store::implementation::on_piece(watch_id id, const std::shared_ptr<etcd_watch>& watch, std::string_view piece)
+{
+    if (watch->ended())
+        return;
+    const auto error = watch->take(piece);
+    if (!error || watch->ended())
+        return;
+    m_http.cancel(watch->call);
+    after_failure(watch->endpoint);
+    end_watch(id, watch, *error);
+}
+
+void etcd_store::implementation::on_stream_end(watch_id id, const std::shared_ptr<etcd_watch>& watch,
+                                               leaf::result<http_answer> answer)
+{
+    if (watch->ended())
+        return;
+    store_error error = store_error::unavailable;
+    if (answer && answer->status != status_ok)
+        error = store_error_of(call_kind::read, *answer);
+    watch->endpoint = after_failure(watch->endpoint);
+    --watch->endpoints_left;
+    if (!answer && !watch->started() && watch->endpoints_left > 0)
+        return open_stream(id, watch);
+    end_watch(id, watch, error);
+}
+
+void etcd_store::implementation::end_watch(watch_id id, const std::shared_ptr<etcd_watch>& watch, store_error error)
+{
+    m_watches.erase(id);
+    watch->end(error);
+}
+
+void etcd_store::implementation::cancel_watch(watch_id id)
+{
+    const auto it = m_watches.find(id);
+    if (it == m_watches.end())
+        return;
+    it->second->cancel();
+    m_http.cancel(it->second->call);
+    m_watches.erase(it);
+}
+
+void etcd_store::implementation::stop()
+{
+    for (const http_call_id id : std::exchange(m_calls, {}))
+        m_http.cancel(id);
+    for (const auto& [id, watch] : std::exchange(m_watches, {})) {
+        watch->cancel();
+        m_http.cancel(watch->call);
+    }
+}
+
+etcd_store::etcd_store(http_client& http, timer_service& timers, etcd_store_settings settings)
+    : m_implementation(std::make_shared<implementation>(http, timers, std::move(settings)))
+{
+}
+
+etcd_store::~etcd_store()
+{
+    m_implementation->stop();
+}
+
+void etcd_store::get(std::string_view key, std::function<void(leaf::result<range_result>)> done)
+{
+    const auto read = [key = std::string(key)](const std::string& body) {
+        auto result = gateway::read_range(body);
+        const bool expected =
+            result && result->entries.size() <= 1 && (result->entries.empty() || result->entries.front().key == key);
+        return expected ? std::move(result) : std::nullopt;
+    };
+    m_implementation->start<range_result>({.path = gateway::range_path,
+                                           .body = gateway::range_request(key, {}),
+                                           .kind = call_kind::read,
+                                           .read = value_reader<range_result>(read),
+                                           .done = std::move(done)});
+}
+
+void etcd_store::range(std::string_view prefix, std::function<void(leaf::result<range_result>)> done)
+{
+    const auto read = [prefix = std::string(prefix)](const std::string& body) {
+        auto result = gateway::read_range(body);
+        const auto has_prefix = [&](const store_entry& entry) { return entry.key.starts_with(prefix); };
+        const bool expected = result && std::ranges::all_of(result->entries, has_prefix);
+        return expected ? std::move(result) : std::nullopt;
+    };
+    m_implementation->start<range_result>(
+        {.path = gateway::range_path,
+         .body = gateway::range_request(gateway::prefix_begin(prefix), gateway::prefix_end(prefix)),
+         .kind = call_kind::read,
+         .read = value_reader<range_result>(read),
+         .done = std::move(done)});
+}
+
+void etcd_store::put_if(std::string_view key, std::int64_t expected_mod_revision, std::string value, lease_id lease,
+                        std::function<void(leaf::result<put_result>)> done)
+{
+    if (value.size() > max_value_bytes)
+        return m_implementation->refuse<put_result>(std::move(done), store_error::too_large);
+    const auto read = [key = std::string(key), expected_mod_revision](const std::string& body) {
+        return gateway::read_txn(body, key, expected_mod_revision);
+    };
+    m_implementation->start<put_result>({.path = gateway::txn_path,
+                                         .body = gateway::put_request(key, expected_mod_revision, value, lease),
+                                         .read = value_reader<put_result>(read),
+                                         .done = std::move(done)});
+}
+
+void etcd_store::remove_if(std::string_view key, std::int64_t expected_mod_revision,
+                           std::function<void(leaf::result<put_result>)> done)
+{
+    const auto read = [key = std::string(key), expected_mod_revision](const std::string& body) {
+        return gateway::read_txn(body, key, expected_mod_revision);
+    };
+    m_implementation->start<put_result>({.path = gateway::txn_path,
+                                         .body = gateway::delete_request(key, expected_mod_revision),
+                                         .read = value_reader<put_result>(read),
+                                         .done = std::move(done)});
+}
+
+void etcd_store::grant_lease(duration ttl, std::function<void(leaf::result<lease_id>)> done)
+{
+    const std::int64_t seconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(ttl).count());
+    const auto read = [seconds](const std::string& body) -> std::optional<lease_id> {
+        const auto granted = gateway::read_grant(body);
+        if (!granted || granted->ttl_seconds < seconds)
+            return std::nullopt;
+        return granted->id;
+    };
+    m_implementation->start<lease_id>({.path = gateway::grant_path,
+                                       .body = gateway::grant_request(seconds),
+                                       .read = value_reader<lease_id>(read),
+                                       .done = std::move(done)});
+}
+
+void etcd_store::keep_alive(lease_id lease, std::function<void(leaf::result<void>)> done)
+{
+    const auto read = [](const std::string& body) -> std::optional<leaf::result<void>> {
+        const auto ttl = gateway::read_keep_alive(body);
+        if (!ttl)
+            return std::nullopt;
+        if (*ttl == 0)
+            return captured_error<void>(store_error::no_such_lease);
+        return leaf::result<void>();
+    };
+    m_implementation->start<void>({.path = gateway::keep_alive_path,
+                                   .body = gateway::keep_alive_request(lease),
+                                   .read = read,
+                                   .done = std::move(done)});
+}
+
+watch_id etcd_store::watch(std::string_view prefix, std::int64_t from_revision, watch_callback on_change)
+{
+    return m_implementation->watch(prefix, from_revision, std::move(on_change));
+}
+
+void etcd_store::cancel_watch(watch_id id)
+{
+    m_implementation->cancel_watch(id);
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/tests/auto/libs/store/scriptedhttpclient.cpp
@@ -0,0 +1,59 @@
+#include "scriptedhttpclient.h"
+
+#include "libs/base/asyncerror.h"
+
+namespace mulberry {
+
+leaf::result<http_answer> scripted_http_client::result_of(const scripted_answer& answer)
+{
+    if (answer.error)
+        return captured_error<http_answer>(*answer.error);
+    return http_answer{answer.status, {}, answer.body};
+}
+
+http_call_id scripted_http_client::send(http_request request, http_callback done)
+{
+    const http_call_id id = ++m_last_id;
+    requests.push_back(std::move(request));
+    if (script.empty())
+        return id;
+    m_calls[id] = std::move(done);
+    m_timers.schedule(duration{1000}, [this, id, answer = script.front()] {
+        if (const auto call = m_calls.extract(id))
+            call.mapped()(result_of(answer));
+    });
+    script.pop_front();
+    return id;
+}
+
+void scripted_http_client::cancel(http_call_id id)
+{
+    cancelled.push_back(id);
+    m_calls.erase(id);
+    m_streams.erase(id);
+}
+
+http_call_id scripted_http_client::stream(http_request request, std::function<void(std::string_view)> on_piece,
+                                          http_callback done)
+{
+    requests.push_back(std::move(request));
+    m_streams[++m_last_id] = {std::move(on_piece), std::move(done)};
+    return m_last_id;
+}
+
+void scripted_http_client::piece(std::string_view text)
+{
+    // Copied, because the watch may be cancelled while it takes the piece.
+    if (!m_streams.empty())
+        std::function(m_streams.begin()->second.on_piece)(text);
+}
+
+void scripted_http_client::finish_stream(const scripted_answer& answer)
+{
+    if (m_streams.empty())
+        return;
+    const auto ended = m_streams.extract(m_streams.begin());
+    ended.mapped().done(result_of(answer));
+}
+
+} // namespace mulberry
