Add the stand-in of the store's gateway

Tests and runs need a store that speaks the published protocol and fails on demand. standinstore serves ranges, single compare-and-swap transactions, leases and watches with the semantics of memory_store over ulfius. POST /standin/faults sets outage, refusal, delay, garbage and lost answers, and POST /standin/lapse ends leases. The nested calls of standinupstream no longer let libcurl repeat a request after the loss of a kept connection, which would have shown as a duplicate run.

--- /dev/null
+++ b/src/tools/standinstore/gatewayserver.cpp
@@ -0,0 +1,370 @@
+#include "tools/standinstore/gatewayserver.h"
+
+#include "libs/base/asyncerror.h"
+#include "libs/documents/units.h"
+#include "libs/store/gatewaycodec.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace mulberry {
+
+namespace {
+
+using nlohmann::json;
+
+/// How soon a lease that has run out is removed.
+constexpr std::chrono::milliseconds tick_period{20};
+
+standin_answer error_answer(int status, gateway::status_code code, const std::string& message)
+{
+    const auto number = static_cast<int>(code);
+    return json_answer(status, json{{"error", message}, {"code", number}, {"message", message}}.dump());
+}
+
+standin_answer unimplemented(const std::string& what)
+{
+    return error_answer(501, gateway::status_code::unimplemented, what + " is not part of the stand-in");
+}
+
+standin_answer error_answer(store_error error)
+{
+    if (error == store_error::no_such_lease)
+        return error_answer(404, gateway::status_code::not_found, "etcdserver: requested lease not found");
+    return error_answer(400, gateway::status_code::invalid_argument, "etcdserver: request is too large");
+}
+
+/// Throws std::invalid_argument, which is answered as an invalid argument.
+std::string bytes_of(const json& object, const char* name)
+{
+    const auto bytes = gateway::from_base64(object.value(name, ""));
+    if (!bytes)
+        throw std::invalid_argument(fmt::format("{} is not base64", name));
+    return *bytes;
+}
+
+std::int64_t number_of(const json& object, const char* name)
+{
+    const auto member = object.find(name);
+    if (member == object.end())
+        return 0;
+    return member->is_string() ? std::stoll(member->get<std::string>()) : member->get<std::int64_t>();
+}
+
+json entry_json(const store_entry& entry)
+{
+    return {{"key", gateway::to_base64(entry.key)},
+            {"value", gateway::to_base64(entry.value)},
+            {"mod_revision", std::to_string(entry.mod_revision)}};
+}
+
+json entries_json(const std::vector<store_entry>& entries)
+{
+    json list = json::array();
+    for (const store_entry& entry : entries)
+        list.push_back(entry_json(entry));
+    return list;
+}
+
+/// Members with an empty list are left out, as the gateway does.
+void add_entries(json& object, const std::vector<store_entry>& entries)
+{
+    if (entries.empty())
+        return;
+    object["kvs"] = entries_json(entries);
+    object["count"] = std::to_string(entries.size());
+}
+
+json event_json(const watch_event& event)
+{
+    if (!event.deleted)
+        return {{"kv", entry_json(event.entry)}};
+    return {
+        {"type", "DELETE"},
+        {"kv",
+         {{"key", gateway::to_base64(event.entry.key)}, {"mod_revision", std::to_string(event.entry.mod_revision)}}}};
+}
+
+/// The prefix that a range of keys stands for; throws std::invalid_argument for any other range.
+std::string prefix_of(const std::string& key, const std::string& range_end)
+{
+    std::string prefix = key == std::string(1, '\0') ? std::string() : key;
+    if (gateway::prefix_end(prefix) != range_end)
+        throw std::invalid_argument("only ranges of a prefix are part of the stand-in");
+    return prefix;
+}
+
+} // namespace
+
+gateway_server::gateway_server()
+    : m_server([this](const standin_request& request) { return handle(request); }), m_ticker([this] { tick(); })
+{
+}
+
+gateway_server::~gateway_server()
+{
+    stop();
+}
+
+void gateway_server::stop()
+{
+    m_server.stop();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    if (m_ticker.joinable())
+        m_ticker.join();
+}
+
+void gateway_server::tick()
+{
+    while (true) {
+        std::this_thread::sleep_for(tick_period);
+        const std::lock_guard lock(m_mutex);
+        if (m_stopping)
+            return;
+        m_timers.run_due();
+    }
+}
+
+/// The store answers through its timers, which run under the lock that the caller holds.
+template <typename Result>
+leaf::result<Result> gateway_server::result_of(std::function<void(std::function<void(leaf::result<Result>)>)> call)
+{
+    std::optional<leaf::result<Result>> answer;
+    call([&](leaf::result<Result> result) { answer = std::move(result); });
+    m_timers.run_due();
+    return std::move(*answer);
+}
+
+json gateway_server::header() const
+{
+    return {
+        {"cluster_id", "1"}, {"member_id", "1"}, {"revision", std::to_string(m_store.revision())}, {"raft_term", "1"}};
+}
+
+standin_answer gateway_server::handle(const standin_request& request)
+{
+    try {
+        if (request.path.starts_with("/standin/"))
+            return handle_own_path(request);
+        return perform(request);
+    }
+    catch (const std::exception& error) {
+        return error_answer(400, gateway::status_code::invalid_argument, error.what());
+    }
+}
+
+standin_answer gateway_server::perform(const standin_request& request)
+{
+    duration delay{0};
+    {
+        const std::lock_guard lock(m_mutex);
+        delay = m_faults.delay;
+    }
+    std::this_thread::sleep_for(delay);
+    const std::lock_guard lock(m_mutex);
+    if (m_faults.down) {
+        standin_answer cut;
+        cut.cut_connection = true;
+        return cut;
+    }
+    if (m_faults.unavailable)
+        return error_answer(503, gateway::status_code::unavailable, "etcdserver: no leader");
+    m_timers.run_due();
+    const json body = json::parse(request.body);
+    standin_answer answer = dispatch(request.path, body);
+    if (m_faults.garbage && !answer.stream)
+        answer.body = "<html>garbage</html>";
+    return answer;
+}
+
+standin_answer gateway_server::dispatch(std::string_view path, const json& body)
+{
+    if (path == gateway::range_path)
+        return range(body);
+    if (path == gateway::txn_path)
+        return txn(body);
+    if (path == gateway::grant_path)
+        return grant(body);
+    if (path == gateway::keep_alive_path)
+        return keep_alive(body);
+    if (path == gateway::watch_path)
+        return watch(body);
+    return error_answer(404, gateway::status_code::not_found, "Not Found");
+}
+
+standin_answer gateway_server::range(const json& request)
+{
+    ++m_counters.reads;
+    const std::string key = bytes_of(request, "key");
+    const std::string range_end = bytes_of(request, "range_end");
+    const auto result = result_of<range_result>([&](auto done) {
+        if (range_end.empty())
+            return m_store.get(key, std::move(done));
+        m_store.range(prefix_of(key, range_end), std::move(done));
+    });
+    json answer{{"header", header()}};
+    add_entries(answer, result->entries);
+    return json_answer(200, answer.dump());
+}
+
+standin_answer gateway_server::txn(const json& request)
+{
+    ++m_counters.writes;
+    const json& compare = request.at("compare").at(0);
+    const json& success = request.at("success").at(0);
+    const std::string key = bytes_of(compare, "key");
+    const bool supported = request.at("compare").size() == 1 && request.at("success").size() == 1 &&
+                           compare.value("target", "") == "MOD" && compare.value("result", "EQUAL") == "EQUAL";
+    if (!supported)
+        return unimplemented("The transaction");
+    const std::int64_t expected = number_of(compare, "mod_revision");
+    const bool is_put = success.contains("request_put");
+    const json& operation = success.at(is_put ? "request_put" : "request_delete_range");
+    if (bytes_of(operation, "key") != key)
+        return unimplemented("A transaction over two keys");
+    auto result = result_of<put_result>([&](auto done) {
+        if (!is_put)
+            return m_store.remove_if(key, expected, std::move(done));
+        m_store.put_if(key, expected, bytes_of(operation, "value"), number_of(operation, "lease"), std::move(done));
+    });
+    if (!result)
+        return error_answer(error_of(std::move(result), store_error::too_large));
+    json answer{{"header", header()}};
+    if (result->applied) {
+        answer["succeeded"] = true;
+        const json written{{is_put ? "response_put" : "response_delete_range", {{"header", header()}}}};
+        answer["responses"] = json::array({written});
+        return after_write(json_answer(200, answer.dump()));
+    }
+    json current{{"header", header()}};
+    if (result->current)
+        add_entries(current, {*result->current});
+    answer["responses"] = json::array({json{{"response_range", current}}});
+    return json_answer(200, answer.dump());
+}
+
+standin_answer gateway_server::after_write(standin_answer answer)
+{
+    if (m_faults.lose_answers == 0)
+        return answer;
+    --m_faults.lose_answers;
+    ++m_counters.lost_answers;
+    answer.cut_connection = true;
+    return answer;
+}
+
+standin_answer gateway_server::grant(const json& request)
+{
+    ++m_counters.lease_calls;
+    const std::int64_t seconds = number_of(request, "TTL");
+    if (seconds <= 0)
+        return error_answer(400, gateway::status_code::invalid_argument, "etcdserver: TTL must be positive");
+    const auto lease =
+        result_of<lease_id>([&](auto done) { m_store.grant_lease(std::chrono::seconds(seconds), std::move(done)); });
+    m_lease_seconds[*lease] = seconds;
+    return after_write(json_answer(
+        200, json{{"header", header()}, {"ID", std::to_string(*lease)}, {"TTL", std::to_string(seconds)}}.dump()));
+}
+
+standin_answer gateway_server::keep_alive(const json& request)
+{
+    ++m_counters.lease_calls;
+    const lease_id lease = number_of(request, "ID");
+    const auto kept = result_of<void>([&](auto done) { m_store.keep_alive(lease, std::move(done)); });
+    json result{{"header", header()}, {"ID", std::to_string(lease)}};
+    if (kept)
+        result["TTL"] = std::to_string(m_lease_seconds[lease]);
+    return json_answer(200, json{{"result", result}}.dump() + "\n");
+}
+
+standin_answer gateway_server::watch(const json& request)
+{
+    ++m_counters.watches;
+    const json& create = request.at("create_request");
+    const std::string prefix = prefix_of(bytes_of(create, "key"), bytes_of(create, "range_end"));
+    std::int64_t from_revision = number_of(create, "start_revision");
+    if (from_revision == 0)
+        from_revision = m_store.revision() + 1;
+    auto queue = std::make_shared<watch_queue>();
+    queue->push(json{{"result", {{"header", header()}, {"created", true}}}}.dump() + "\n");
+    const watch_id id = m_store.watch(prefix, from_revision, [this, queue](auto events) {
+        json list = json::array();
+        for (const watch_event& event : *events)
+            list.push_back(event_json(event));
+        queue->push(json{{"result", {{"header", header()}, {"events", list}}}}.dump() + "\n");
+    });
+    m_timers.run_due();
+    m_queues[id] = queue;
+    standin_answer answer = json_answer(200, "");
+    answer.stream = std::make_shared<watch_stream>(queue, [this, id] {
+        const std::lock_guard lock(m_mutex);
+        m_store.cancel_watch(id);
+        m_queues.erase(id);
+    });
+    return answer;
+}
+
+standin_answer gateway_server::handle_own_path(const standin_request& request)
+{
+    if (request.path == "/standin/stats")
+        return stats();
+    const json members = json::parse(request.body);
+    if (request.path == "/standin/faults")
+        return set_faults(members);
+    if (request.path == "/standin/lapse")
+        return lapse(members);
+    return error_answer(404, gateway::status_code::not_found, "Not Found");
+}
+
+standin_answer gateway_server::set_faults(const json& members)
+{
+    const std::lock_guard lock(m_mutex);
+    gateway_faults changed = m_faults;
+    const std::map<std::string, std::function<void(const json&)>> setters{
+        {"down", [&](const json& value) { changed.down = value.get<bool>(); }},
+        {"unavailable", [&](const json& value) { changed.unavailable = value.get<bool>(); }},
+        {"garbage", [&](const json& value) { changed.garbage = value.get<bool>(); }},
+        {"delay", [&](const json& value) { changed.delay = parse_duration(value.get<std::string>()).value(); }},
+        {"lose_answers", [&](const json& value) { changed.lose_answers = value.get<std::uint32_t>(); }},
+    };
+    for (const auto& [name, value] : members.items())
+        setters.at(name)(value);
+    m_faults = changed;
+    if (m_faults.down) {
+        for (const auto& [id, queue] : m_queues) {
+            if (const auto open = queue.lock())
+                open->close();
+        }
+    }
+    return json_answer(200, "{}");
+}
+
+standin_answer gateway_server::lapse(const json& members)
+{
+    const std::lock_guard lock(m_mutex);
+    const lease_id lease = number_of(members, "ID");
+    for (const auto& [id, seconds] : m_lease_seconds) {
+        if (lease == 0 || lease == id)
+            m_store.expire_lease(id);
+    }
+    m_timers.run_due();
+    return json_answer(200, "{}");
+}
+
+standin_answer gateway_server::stats()
+{
+    const std::lock_guard lock(m_mutex);
+    return json_answer(200, json{{"reads", m_counters.reads},
+                                 {"writes", m_counters.writes},
+                                 {"lease_calls", m_counters.lease_calls},
+                                 {"watches", m_counters.watches},
+                                 {"open_watches", m_queues.size()},
+                                 {"lost_answers", m_counters.lost_answers},
+                                 {"revision", m_store.revision()}}
+                                .dump());
+}
+
+} // namespace mulberry
--- a/src/tools/standinupstream/nestedcaller.cpp
+++ b/src/tools/standinupstream/nestedcaller.cpp
@@ -27,6 +27,13 @@
     return size * count;
 }
 
+/// Lets the first attempt through. libcurl repeats a request on its own when a kept connection is lost, which would run
+/// a nested call twice without the daemon's knowledge.
+int allow_one_attempt(void* attempts, char*, char*, int, int)
+{
+    return ++*static_cast<int*>(attempts) == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 } // namespace
 
 /// A curl handle, which keeps its connection between calls.
@@ -61,6 +68,9 @@
         curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, &answer.body);
         curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, append_header);
         curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, &answer.headers);
+        int attempts = 0;
+        curl_easy_setopt(m_handle, CURLOPT_PREREQFUNCTION, allow_one_attempt);
+        curl_easy_setopt(m_handle, CURLOPT_PREREQDATA, &attempts);
         if (curl_easy_perform(m_handle) == CURLE_OK) {
             long status = 0;
             curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
