--- /dev/null
+++ b/src/libs/http/curlhttpclient.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "libs/http/httpclient.h"
+
+#include <memory>
+
+namespace mulberry {
+
+class event_loop;
+
+struct curl_client_settings {
+    /// Bodies above this size end in http_error::too_large. Streams have no limit.
+    std::size_t max_answer_bytes = 8 * 1024 * 1024;
+    /// Limit of the header block of one answer.
+    std::size_t max_header_bytes = 64 * 1024;
+    duration connect_timeout{std::chrono::seconds(2)};
+    /// Connections to one host; further requests wait for a free one within their timeout.
+    long max_connections_per_host = 1000;
+    /// Idle connections that are kept in total.
+    long max_kept_connections = 1000;
+};
+
+/// HTTP/1.1 client on libcurl's multi interface with a thread of its own. All members are called on the event loop's
+/// thread, where the callbacks run as well.
+///
+/// A request is written to one connection at most: libcurl's own second attempt after the loss of a kept connection is
+/// suppressed and reported as connection_lost. not_sent is reported only if the request was never handed to a
+/// connection. An answer that announces neither a length nor chunked encoding is reported as truncated, because its end
+/// cannot be told from a lost connection. Header fields that would break the framing (line breaks in names or values)
+/// make the request fail as not_sent; Content-Length, Transfer-Encoding and Connection are set by the client alone.
+/// A timeout of zero or less fails as not_sent at once, but means no limit for stream(). Redirects are not followed.
+class curl_http_client final : public http_client {
+public:
+    explicit curl_http_client(event_loop& loop, const curl_client_settings& settings = {});
+    ~curl_http_client() override;
+
+    http_call_id send(http_request request, http_callback done) override;
+    void cancel(http_call_id id) override;
+    http_call_id stream(http_request request, std::function<void(std::string_view)> on_piece,
+                        http_callback done) override;
+
+private:
+    class worker;
+
+    std::shared_ptr<worker> m_worker;
+    http_call_id m_last_id = 0;
+};
+
+} // namespace mulberry
--- /dev/null
+++ b/src/libs/peer/tlsidentity.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/leaf.hpp>
+
+namespace boost::asio::ssl {
+class context;
+} // namespace boost::asio::ssl
+
+namespace mulberry {
+
+namespace leaf = boost::leaf;
+
+enum class tls_error : std::uint8_t { bad_ca, bad_certificate, bad_key, key_mismatch, no_common_name };
+
+std::string_view to_string(tls_error error);
+
+/// PEM files. The certificate's subject common name is the node name; its issuer is in the CA file.
+struct tls_files {
+    std::string ca;
+    std::string certificate;
+    std::string key;
+};
+
+/// A node's certificate and the authority that it trusts, for both directions of mutual TLS 1.3. Copies share the data.
+class tls_identity {
+public:
+    /// Fails with tls_error.
+    static leaf::result<tls_identity> load(const tls_files& files);
+
+    /// The node name in the certificate.
+    const std::string& node_name() const { return m_node_name; }
+
+    boost::asio::ssl::context& server_context() const { return *m_server; }
+    boost::asio::ssl::context& client_context() const { return *m_client; }
+
+private:
+    std::string m_node_name;
+    std::shared_ptr<boost::asio::ssl::context> m_server;
+    std::shared_ptr<boost::asio::ssl::context> m_client;
+};
+
+} // namespace mulberry
