--- a/src/libs/eventloop/asiotimerservice.h
+++ b/src/libs/eventloop/asiotimerservice.h
@@ -3,6 +3,7 @@
 #include "libs/base/timerservice.h"
 
 #include <map>
+#include <memory>
 #include <unordered_map>
 #include <utility>
 
@@ -33,6 +34,8 @@
     bool m_running_due = false;
     std::map<key, std::function<void()>> m_queue;
     std::unordered_map<timer_id, time_point> m_due;
+    // Expires with this object, for handlers that the loop still holds.
+    std::shared_ptr<int> m_alive = std::make_shared<int>();
 };
 
 } // namespace mulberry
--- a/src/libs/eventloop/eventloop.h
+++ b/src/libs/eventloop/eventloop.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <atomic>
-#include <functional>
 #include <thread>
+#include <utility>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 namespace mulberry {
 
@@ -25,8 +26,12 @@
     void stop();
 
     /// Queues a task for the loop; it never runs within this call. Tasks from one thread keep their order. May be
-    /// called from any thread.
-    void post(std::function<void()> task);
+    /// called from any thread. The task may be movable only.
+    template <typename Task>
+    void post(Task&& task)
+    {
+        boost::asio::post(m_context, std::forward<Task>(task));
+    }
 
     /// True on the thread that is inside run().
     bool runs_here() const { return m_thread.load() == std::this_thread::get_id(); }
--- /dev/null
+++ b/src/libs/peer/clientconnection.cpp
@@ -0,0 +1,321 @@
+#include "libs/peer/clientconnection.h"
+
+#include "libs/base/asyncerror.h"
+#include "libs/base/log.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/asio/connect.hpp>
+
+namespace mulberry::detail {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+peer_error error_of_status(std::string_view status)
+{
+    if (status == "400" || status == "404")
+        return peer_error::rejected;
+    if (status == "413")
+        return peer_error::too_large;
+    if (status == "500")
+        return peer_error::answer_too_large;
+    return peer_error::bad_answer;
+}
+
+} // namespace
+
+client_connection::client_connection(boost::asio::io_context& context, const tls_identity& identity,
+                                     const peer_settings& settings, std::shared_ptr<peer_counters> counters,
+                                     std::weak_ptr<client_connection_owner> owner, std::string node_name,
+                                     std::string address)
+    : http2_connection(tls_socket(context, identity.client_context()), role::client, settings, std::move(counters)),
+      m_owner(std::move(owner)), m_node_name(std::move(node_name)), m_address(std::move(address)), m_resolver(context),
+      m_connect_timer(context), m_idle_timer(context)
+{
+}
+
+void client_connection::connect()
+{
+    const auto keep = shared_from_this();
+    m_connect_timer.expires_after(settings().connect_timeout);
+    m_connect_timer.async_wait([this, keep](const error_code& error) {
+        if (!error && !m_ready)
+            close();
+    });
+    const std::size_t colon = m_address.rfind(':');
+    const std::string host = m_address.substr(0, colon);
+    const std::string port = colon == std::string::npos ? std::string() : m_address.substr(colon + 1);
+    m_resolver.async_resolve(host, port, tcp::resolver::numeric_service,
+                             [this, keep](const error_code& error, const tcp::resolver::results_type& endpoints) {
+                                 if (error)
+                                     close();
+                                 else if (!closed())
+                                     connect_to(endpoints);
+                             });
+}
+
+void client_connection::connect_to(const tcp::resolver::results_type& endpoints)
+{
+    boost::asio::async_connect(socket().lowest_layer(), endpoints,
+                               [this, keep = shared_from_this()](const error_code& error, const tcp::endpoint&) {
+                                   if (error)
+                                       close();
+                                   else if (!closed())
+                                       handshake();
+                               });
+}
+
+void client_connection::handshake()
+{
+    error_code ignored;
+    socket().lowest_layer().set_option(tcp::no_delay(true), ignored);
+    socket().async_handshake(boost::asio::ssl::stream_base::client,
+                             [this, keep = shared_from_this()](const error_code& error) {
+                                 if (error)
+                                     close();
+                                 else if (!closed())
+                                     verify_peer();
+                             });
+}
+
+void client_connection::verify_peer()
+{
+    const std::string name = authenticated_peer_name();
+    if (name != m_node_name) {
+        log_warning("peer", "Expected node {} at {}, found {}.", m_node_name, m_address, name);
+        close();
+        return;
+    }
+    start_session();
+}
+
+void client_connection::submit(peer_call_id id, std::string path, std::string payload)
+{
+    auto call = std::make_unique<call_state>();
+    call->id = id;
+    call->path = std::move(path);
+    call->payload.bytes = std::move(payload);
+    m_waiting.push_back(std::move(call));
+    pump();
+    flush();
+}
+
+void client_connection::pump()
+{
+    if (!m_ready || m_goaway)
+        return;
+    const std::size_t limit = std::min(settings().max_concurrent_streams, peer_stream_limit());
+    while (!m_waiting.empty() && m_streams.size() < limit) {
+        std::unique_ptr<call_state> call = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        std::int32_t stream = 0;
+        submit_request(stream, call->path, call->payload);
+        if (stream <= 0) {
+            // The stream ids of this connection are used up.
+            report(*call, peer_error::not_sent);
+            m_retired = true;
+            continue;
+        }
+        m_streams.emplace(stream, std::move(call));
+    }
+}
+
+void client_connection::cancel(peer_call_id id)
+{
+    const auto waiting = std::ranges::find_if(m_waiting, [id](const auto& call) { return call->id == id; });
+    if (waiting != m_waiting.end()) {
+        m_waiting.erase(waiting);
+        return;
+    }
+    const auto open = std::ranges::find_if(m_streams, [id](const auto& entry) { return entry.second->id == id; });
+    if (open == m_streams.end())
+        return;
+    open->second->cancelled = true;
+    reset_stream(open->first, NGHTTP2_CANCEL);
+    flush();
+}
+
+void client_connection::retire()
+{
+    m_retired = true;
+    settle_idle();
+    flush();
+}
+
+void client_connection::settle_idle()
+{
+    if (closed() || !m_streams.empty() || !m_waiting.empty())
+        return;
+    if (m_retired) {
+        if (m_ready)
+            submit_goaway();
+        else
+            close();
+        return;
+    }
+    m_idle_timer.expires_after(settings().idle_timeout);
+    m_idle_timer.async_wait([this, keep = shared_from_this()](const error_code& error) {
+        if (!error && !closed() && m_streams.empty() && m_waiting.empty())
+            retire();
+    });
+}
+
+leaf::result<std::string> client_connection::outcome_of(call_state& call, peer_error otherwise)
+{
+    if (call.failure)
+        return captured_error<std::string>(*call.failure);
+    if (call.complete && call.status == "200")
+        return std::move(call.answer);
+    if (call.complete)
+        return captured_error<std::string>(error_of_status(call.status));
+    return captured_error<std::string>(call.written ? otherwise : peer_error::not_sent);
+}
+
+void client_connection::report(call_state& call, peer_error otherwise)
+{
+    const auto owner = m_owner.lock();
+    if (owner && !call.cancelled)
+        owner->finished(call.id, outcome_of(call, otherwise));
+}
+
+void client_connection::fail_waiting()
+{
+    for (const auto& call : std::exchange(m_waiting, {}))
+        report(*call, peer_error::not_sent);
+}
+
+void client_connection::fail_stream(std::int32_t stream, call_state& call, peer_error error)
+{
+    call.failure = error;
+    reset_stream(stream, NGHTTP2_CANCEL);
+}
+
+client_connection::call_state* client_connection::find(std::int32_t stream)
+{
+    const auto found = m_streams.find(stream);
+    return found == m_streams.end() ? nullptr : found->second.get();
+}
+
+void client_connection::on_message_begin(std::int32_t /*stream*/) {}
+
+void client_connection::on_field(std::int32_t stream, std::string_view name, std::string_view value)
+{
+    call_state* call = find(stream);
+    if (call == nullptr)
+        return;
+    if (name == ":status") {
+        call->status = value;
+    }
+    else if (name == "content-length") {
+        std::size_t length = 0;
+        // nghttp2 has checked that the value is a number.
+        std::from_chars(value.data(), value.data() + value.size(), length);
+        call->expected = length;
+    }
+}
+
+void client_connection::on_fields_end(std::int32_t stream)
+{
+    call_state* call = find(stream);
+    if (call == nullptr || call->failure)
+        return;
+    if (!call->expected) {
+        fail_stream(stream, *call, peer_error::bad_answer);
+        return;
+    }
+    if (*call->expected > settings().max_message_bytes) {
+        ++counters().oversized_messages;
+        fail_stream(stream, *call, peer_error::answer_too_large);
+    }
+}
+
+void client_connection::on_data(std::int32_t stream, std::string_view piece)
+{
+    call_state* call = find(stream);
+    if (call != nullptr && !call->failure && !call->cancelled)
+        call->answer += piece;
+}
+
+void client_connection::on_message_end(std::int32_t stream)
+{
+    call_state* call = find(stream);
+    if (call == nullptr || call->failure)
+        return;
+    if (call->expected && call->answer.size() == *call->expected)
+        call->complete = true;
+    else if (!call->cancelled)
+        fail_stream(stream, *call, peer_error::bad_answer);
+}
+
+void client_connection::on_stream_close(std::int32_t stream, std::uint32_t code, bool reset_by_peer)
+{
+    const auto place = m_streams.find(stream);
+    if (place == m_streams.end())
+        return;
+    const std::unique_ptr<call_state> call = std::move(place->second);
+    m_streams.erase(place);
+    const bool begun = !call->status.empty();
+    if (begun && !call->complete && !call->failure && !call->cancelled)
+        ++counters().truncated_messages;
+    peer_error otherwise = peer_error::connection_lost;
+    if (!reset_by_peer && code == NGHTTP2_PROTOCOL_ERROR)
+        otherwise = peer_error::bad_answer;
+    else if (code == NGHTTP2_REFUSED_STREAM && !begun)
+        otherwise = peer_error::refused;
+    report(*call, otherwise);
+    pump();
+    settle_idle();
+}
+
+void client_connection::on_fields_written(std::int32_t stream)
+{
+    call_state* call = find(stream);
+    if (call != nullptr)
+        call->written = true;
+}
+
+void client_connection::on_request_not_written(std::int32_t stream)
+{
+    on_stream_close(stream, NGHTTP2_NO_ERROR, false);
+}
+
+void client_connection::on_settings()
+{
+    if (!m_ready) {
+        m_ready = true;
+        m_connect_timer.cancel();
+        ++counters().connections_opened;
+        settle_idle();
+    }
+    pump();
+}
+
+void client_connection::on_goaway()
+{
+    m_goaway = true;
+    m_retired = true;
+    fail_waiting();
+}
+
+void client_connection::on_closed()
+{
+    m_resolver.cancel();
+    m_connect_timer.cancel();
+    m_idle_timer.cancel();
+    if (!m_ready)
+        ++counters().connections_failed;
+    else if (!m_retired || !m_streams.empty())
+        ++counters().connections_lost;
+    m_retired = true;
+    fail_waiting();
+    for (const auto& [stream, call] : std::exchange(m_streams, {}))
+        report(*call, peer_error::connection_lost);
+    if (const auto owner = m_owner.lock())
+        owner->connection_closed(*this);
+}
+
+} // namespace mulberry::detail
--- /dev/null
+++ b/src/libs/peer/http2connection.cpp
@@ -0,0 +1,405 @@
+#include "libs/peer/http2connection.h"
+
+#include "libs/base/log.h"
+#include "libs/peer/certificatename.h"
+
+#include <algorithm>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace mulberry::detail {
+
+namespace {
+
+using boost::system::error_code;
+
+constexpr std::size_t write_batch_bytes = 64 * 1024;
+// A default window of 64 KiB would stall a 1 MiB body for many round trips between regions (20 ms each way).
+constexpr std::int32_t stream_window_bytes = 1024 * 1024;
+constexpr std::int32_t connection_window_bytes = 16 * 1024 * 1024;
+// How long a finished connection waits for the peer to close, so that unread bytes do not turn the close into a reset
+// that destroys the last answers.
+constexpr std::chrono::seconds linger_limit{1};
+
+constexpr std::array<std::uint8_t, 8> probe_mark{'p', 'r', 'o', 'b', 'e'};
+constexpr std::array<std::uint8_t, 8> goaway_mark{'g', 'o', 'a', 'w', 'a', 'y'};
+
+nghttp2_nv to_nv(const header_field& field)
+{
+    // nghttp2 copies the bytes and does not write through these pointers.
+    auto bytes = [](std::string_view text) {
+        return const_cast<std::uint8_t*>(static_cast<const std::uint8_t*>(static_cast<const void*>(text.data())));
+    };
+    return {bytes(field.first), bytes(field.second), field.first.size(), field.second.size(), NGHTTP2_NV_FLAG_NONE};
+}
+
+std::string_view to_text(const std::uint8_t* data, std::size_t size)
+{
+    return {static_cast<const char*>(static_cast<const void*>(data)), size};
+}
+
+bool is_protocol_violation(std::uint32_t code)
+{
+    return code == NGHTTP2_PROTOCOL_ERROR || code == NGHTTP2_FLOW_CONTROL_ERROR || code == NGHTTP2_STREAM_CLOSED ||
+           code == NGHTTP2_FRAME_SIZE_ERROR;
+}
+
+ssize_t read_payload(nghttp2_session*, std::int32_t, std::uint8_t* buffer, std::size_t size, std::uint32_t* flags,
+                     nghttp2_data_source* source, void*)
+{
+    auto& payload = *static_cast<outgoing_payload*>(source->ptr);
+    const std::size_t count = std::min(size, payload.bytes.size() - payload.sent);
+    std::copy_n(payload.bytes.data() + payload.sent, count, buffer);
+    payload.sent += count;
+    if (payload.sent == payload.bytes.size())
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    return static_cast<ssize_t>(count);
+}
+
+} // namespace
+
+struct http2_connection::callbacks {
+    static http2_connection& self(void* data) { return *static_cast<http2_connection*>(data); }
+
+    static bool opens_message(const nghttp2_frame* frame)
+    {
+        return frame->hd.type == NGHTTP2_HEADERS &&
+               (frame->headers.cat == NGHTTP2_HCAT_REQUEST || frame->headers.cat == NGHTTP2_HCAT_RESPONSE);
+    }
+
+    static int begin_headers(nghttp2_session*, const nghttp2_frame* frame, void* data)
+    {
+        if (opens_message(frame))
+            self(data).on_message_begin(frame->hd.stream_id);
+        return 0;
+    }
+
+    static int header(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name, std::size_t name_size,
+                      const std::uint8_t* value, std::size_t value_size, std::uint8_t, void* data)
+    {
+        if (opens_message(frame))
+            self(data).on_field(frame->hd.stream_id, to_text(name, name_size), to_text(value, value_size));
+        return 0;
+    }
+
+    static int frame_recv(nghttp2_session*, const nghttp2_frame* frame, void* data)
+    {
+        self(data).frame_received(*frame);
+        return 0;
+    }
+
+    static int data_chunk(nghttp2_session*, std::uint8_t, std::int32_t stream, const std::uint8_t* bytes,
+                          std::size_t size, void* data)
+    {
+        self(data).on_data(stream, to_text(bytes, size));
+        return 0;
+    }
+
+    static int stream_close(nghttp2_session*, std::int32_t stream, std::uint32_t code, void* data)
+    {
+        self(data).on_stream_close(stream, code, self(data).m_reset_by_peer == stream);
+        self(data).m_reset_by_peer = 0;
+        return 0;
+    }
+
+    static int frame_send(nghttp2_session*, const nghttp2_frame* frame, void* data)
+    {
+        self(data).frame_sent(*frame);
+        return 0;
+    }
+
+    static int frame_not_send(nghttp2_session*, const nghttp2_frame* frame, int, void* data)
+    {
+        if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
+            self(data).on_request_not_written(frame->hd.stream_id);
+        return 0;
+    }
+
+    static const nghttp2_session_callbacks* table()
+    {
+        static nghttp2_session_callbacks* const shared = [] {
+            nghttp2_session_callbacks* made = nullptr;
+            nghttp2_session_callbacks_new(&made);
+            nghttp2_session_callbacks_set_on_begin_headers_callback(made, begin_headers);
+            nghttp2_session_callbacks_set_on_header_callback(made, header);
+            nghttp2_session_callbacks_set_on_frame_recv_callback(made, frame_recv);
+            nghttp2_session_callbacks_set_on_data_chunk_recv_callback(made, data_chunk);
+            nghttp2_session_callbacks_set_on_stream_close_callback(made, stream_close);
+            nghttp2_session_callbacks_set_on_frame_send_callback(made, frame_send);
+            nghttp2_session_callbacks_set_on_frame_not_send_callback(made, frame_not_send);
+            return made;
+        }();
+        return shared;
+    }
+};
+
+http2_connection::http2_connection(tls_socket socket, role side, const peer_settings& settings,
+                                   std::shared_ptr<peer_counters> counters)
+    : m_socket(std::move(socket)), m_role(side), m_settings(settings), m_counters(std::move(counters)),
+      m_probe_timer(m_socket.get_executor()), m_linger_timer(m_socket.get_executor())
+{
+}
+
+http2_connection::~http2_connection() = default;
+
+std::string http2_connection::authenticated_peer_name()
+{
+    SSL* handle = m_socket.native_handle();
+    const unsigned char* protocol = nullptr;
+    unsigned int length = 0;
+    SSL_get0_alpn_selected(handle, &protocol, &length);
+    const X509* certificate = SSL_get0_peer_certificate(handle);
+    if (to_text(protocol, length) != "h2" || certificate == nullptr || SSL_get_verify_result(handle) != X509_V_OK)
+        return {};
+    return common_name(certificate).value_or(std::string());
+}
+
+void http2_connection::start_session()
+{
+    nghttp2_session* session = nullptr;
+    if (m_role == role::server)
+        nghttp2_session_server_new(&session, callbacks::table(), this);
+    else
+        nghttp2_session_client_new(&session, callbacks::table(), this);
+    m_session.reset(session);
+    const std::array<nghttp2_settings_entry, 3> entries{{
+        {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, m_settings.max_concurrent_streams},
+        {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, stream_window_bytes},
+        {NGHTTP2_SETTINGS_ENABLE_PUSH, 0},
+    }};
+    nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, entries.data(), entries.size());
+    nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0, connection_window_bytes);
+    flush();
+    read();
+    probe();
+}
+
+void http2_connection::submit_message(std::int32_t& stream, std::span<const header_field> fields,
+                                      outgoing_payload& payload, bool is_request)
+{
+    std::vector<nghttp2_nv> block;
+    block.reserve(fields.size());
+    std::ranges::transform(fields, std::back_inserter(block), to_nv);
+    nghttp2_data_provider provider{};
+    provider.source.ptr = &payload;
+    provider.read_callback = read_payload;
+    const nghttp2_data_provider* body = payload.bytes.empty() ? nullptr : &provider;
+    if (is_request)
+        stream = nghttp2_submit_request(m_session.get(), nullptr, block.data(), block.size(), body, nullptr);
+    else
+        nghttp2_submit_response(m_session.get(), stream, block.data(), block.size(), body);
+}
+
+void http2_connection::submit_request(std::int32_t& stream, std::string_view path, outgoing_payload& payload)
+{
+    const std::string length = std::to_string(payload.bytes.size());
+    // The authority is mandatory in HTTP/2; the certificate already names the node.
+    const std::array<header_field, 5> fields{{{":method", "POST"},
+                                              {":scheme", "https"},
+                                              {":authority", "mulberry"},
+                                              {":path", path},
+                                              {"content-length", length}}};
+    submit_message(stream, fields, payload, true);
+}
+
+void http2_connection::submit_response(std::int32_t stream, std::string_view status, outgoing_payload& payload)
+{
+    const std::string length = std::to_string(payload.bytes.size());
+    const std::array<header_field, 2> fields{{{":status", status}, {"content-length", length}}};
+    submit_message(stream, fields, payload, false);
+}
+
+void http2_connection::reset_stream(std::int32_t stream, std::uint32_t code)
+{
+    nghttp2_submit_rst_stream(m_session.get(), NGHTTP2_FLAG_NONE, stream, code);
+}
+
+void http2_connection::submit_goaway()
+{
+    nghttp2_submit_goaway(m_session.get(), NGHTTP2_FLAG_NONE, nghttp2_session_get_last_proc_stream_id(m_session.get()),
+                          NGHTTP2_NO_ERROR, nullptr, 0);
+}
+
+void http2_connection::submit_goaway_after_notice()
+{
+    m_goaway_pending = true;
+    nghttp2_submit_shutdown_notice(m_session.get());
+    nghttp2_submit_ping(m_session.get(), NGHTTP2_FLAG_NONE, goaway_mark.data());
+}
+
+std::uint32_t http2_connection::peer_stream_limit() const
+{
+    return nghttp2_session_get_remote_settings(m_session.get(), NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS);
+}
+
+void http2_connection::flush()
+{
+    if (m_in_session || m_writing || m_finishing || m_closed || !m_session)
+        return;
+    m_write_buffer.clear();
+    m_in_session = true;
+    ssize_t count = 0;
+    while (m_write_buffer.size() < write_batch_bytes) {
+        const std::uint8_t* bytes = nullptr;
+        count = nghttp2_session_mem_send(m_session.get(), &bytes);
+        if (count <= 0)
+            break;
+        m_write_buffer.insert(m_write_buffer.end(), bytes, bytes + count);
+    }
+    m_in_session = false;
+    if (count < 0) {
+        log_error("peer", "HTTP/2 session failed to send: {}.", nghttp2_strerror(static_cast<int>(count)));
+        close();
+        return;
+    }
+    if (!m_write_buffer.empty())
+        write();
+    else if (nghttp2_session_want_read(m_session.get()) == 0 && nghttp2_session_want_write(m_session.get()) == 0)
+        finish();
+}
+
+void http2_connection::write()
+{
+    m_writing = true;
+    m_counters->bytes_sent += m_write_buffer.size();
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_write_buffer),
+                             [this, keep = shared_from_this()](const error_code& error, std::size_t) {
+                                 m_writing = false;
+                                 if (error)
+                                     close();
+                                 else
+                                     flush();
+                             });
+}
+
+void http2_connection::read()
+{
+    m_socket.async_read_some(boost::asio::buffer(m_read_buffer),
+                             [this, keep = shared_from_this()](const error_code& error, std::size_t count) {
+                                 if (m_closed)
+                                     return;
+                                 if (error) {
+                                     close();
+                                     return;
+                                 }
+                                 receive(count);
+                                 if (!m_closed)
+                                     read();
+                             });
+}
+
+void http2_connection::receive(std::size_t count)
+{
+    m_heard = true;
+    m_counters->bytes_received += count;
+    if (m_finishing)
+        return;
+    m_in_session = true;
+    const ssize_t taken = nghttp2_session_mem_recv(m_session.get(), m_read_buffer.data(), count);
+    m_in_session = false;
+    if (taken < 0) {
+        ++m_counters->protocol_errors;
+        log_warning("peer", "Connection dropped: {}.", nghttp2_strerror(static_cast<int>(taken)));
+        close();
+        return;
+    }
+    flush();
+}
+
+void http2_connection::finish()
+{
+    m_finishing = true;
+    error_code ignored;
+    m_socket.lowest_layer().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    m_linger_timer.expires_after(linger_limit);
+    m_linger_timer.async_wait([this, keep = shared_from_this()](const error_code& error) {
+        if (!error)
+            close();
+    });
+}
+
+void http2_connection::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_probe_timer.cancel();
+    m_linger_timer.cancel();
+    error_code ignored;
+    m_socket.lowest_layer().close(ignored);
+    on_closed();
+}
+
+void http2_connection::probe()
+{
+    m_heard = false;
+    m_probe_timer.expires_after(m_settings.ping_after);
+    m_probe_timer.async_wait([this, keep = shared_from_this()](const error_code& error) {
+        if (error || m_closed)
+            return;
+        const bool silent = !m_heard && (m_goaway_pending || expects_traffic());
+        if (silent && m_probing) {
+            log_warning("peer", "Connection dropped: the peer does not answer a PING.");
+            close();
+            return;
+        }
+        m_probing = silent;
+        if (silent) {
+            nghttp2_submit_ping(m_session.get(), NGHTTP2_FLAG_NONE, probe_mark.data());
+            flush();
+        }
+        if (!m_closed)
+            probe();
+    });
+}
+
+void http2_connection::frame_received(const nghttp2_frame& frame)
+{
+    const std::int32_t stream = frame.hd.stream_id;
+    const bool acknowledges = (frame.hd.flags & NGHTTP2_FLAG_ACK) != 0;
+    switch (frame.hd.type) {
+    case NGHTTP2_HEADERS:
+        if (callbacks::opens_message(&frame))
+            on_fields_end(stream);
+        [[fallthrough]];
+    case NGHTTP2_DATA:
+        if ((frame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
+            on_message_end(stream);
+        break;
+    case NGHTTP2_SETTINGS:
+        if (!acknowledges)
+            on_settings();
+        break;
+    case NGHTTP2_GOAWAY:
+        on_goaway();
+        break;
+    case NGHTTP2_RST_STREAM:
+        // nghttp2 closes the stream right after this.
+        m_reset_by_peer = stream;
+        break;
+    case NGHTTP2_PING:
+        if (acknowledges && m_goaway_pending && std::ranges::equal(frame.ping.opaque_data, goaway_mark)) {
+            m_goaway_pending = false;
+            submit_goaway();
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void http2_connection::frame_sent(const nghttp2_frame& frame)
+{
+    if (frame.hd.type == NGHTTP2_HEADERS)
+        on_fields_written(frame.hd.stream_id);
+    const bool stream_error = frame.hd.type == NGHTTP2_RST_STREAM && is_protocol_violation(frame.rst_stream.error_code);
+    const bool connection_error = frame.hd.type == NGHTTP2_GOAWAY && frame.goaway.error_code != NGHTTP2_NO_ERROR;
+    if (!stream_error && !connection_error)
+        return;
+    ++m_counters->protocol_errors;
+    const std::uint32_t code = stream_error ? frame.rst_stream.error_code : frame.goaway.error_code;
+    log_warning("peer", "The peer broke the protocol: {}.", nghttp2_http2_strerror(code));
+}
+
+} // namespace mulberry::detail
--- /dev/null
+++ b/src/libs/peer/http2connection.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "libs/peer/peersettings.h"
+
+#include <array>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nghttp2/nghttp2.h>
+
+namespace mulberry::detail {
+
+using tls_socket = boost::asio::ssl::stream<boost::asio::ip::tcp::socket>;
+using header_field = std::pair<std::string_view, std::string_view>;
+
+/// A payload on its way into a stream; kept alive by its owner until the stream has closed.
+struct outgoing_payload {
+    std::string bytes;
+    std::size_t sent = 0;
+};
+
+/// One HTTP/2 session over TLS: moves bytes between the socket and nghttp2, probes silent peers and closes without
+/// losing what was written. Subclasses give the frames their meaning. The `on_...` functions run inside nghttp2 and
+/// must not call out of the peer library.
+class http2_connection : public std::enable_shared_from_this<http2_connection> {
+public:
+    http2_connection(const http2_connection&) = delete;
+    http2_connection& operator=(const http2_connection&) = delete;
+    virtual ~http2_connection();
+
+    /// Drops the connection at once.
+    void close();
+    bool closed() const { return m_closed; }
+
+protected:
+    enum class role { client, server };
+
+    http2_connection(tls_socket socket, role side, const peer_settings& settings,
+                     std::shared_ptr<peer_counters> counters);
+
+    /// Starts HTTP/2 after the TLS handshake.
+    void start_session();
+    /// Writes what nghttp2 has queued. To be called after each submission; does nothing inside nghttp2's callbacks.
+    void flush();
+    /// The common name of the peer's verified certificate; empty if it has none or HTTP/2 was not negotiated.
+    std::string authenticated_peer_name();
+
+    void submit_request(std::int32_t& stream, std::string_view path, outgoing_payload& payload);
+    void submit_response(std::int32_t stream, std::string_view status, outgoing_payload& payload);
+    void reset_stream(std::int32_t stream, std::uint32_t code);
+    /// Sends GOAWAY; the connection ends when no streams are left.
+    void submit_goaway();
+    /// Announces GOAWAY, and sends it after one round trip, so that calls already on their way are still served.
+    void submit_goaway_after_notice();
+    std::uint32_t peer_stream_limit() const;
+
+    virtual void on_message_begin(std::int32_t stream) = 0;
+    virtual void on_field(std::int32_t stream, std::string_view name, std::string_view value) = 0;
+    virtual void on_fields_end(std::int32_t stream) = 0;
+    virtual void on_data(std::int32_t stream, std::string_view piece) = 0;
+    virtual void on_message_end(std::int32_t stream) = 0;
+    /// The stream has ended with an HTTP/2 error code, by a reset of the peer or otherwise.
+    virtual void on_stream_close(std::int32_t stream, std::uint32_t code, bool reset_by_peer) = 0;
+    /// The header block of our message is in the write buffer.
+    virtual void on_fields_written(std::int32_t stream) = 0;
+    /// The header block of our request will never be written.
+    virtual void on_request_not_written(std::int32_t /*stream*/) {}
+    virtual void on_settings() {}
+    virtual void on_goaway() {}
+    /// The connection has ended; called once, outside nghttp2.
+    virtual void on_closed() = 0;
+    /// Whether the peer is expected to be alive, so that its silence is probed.
+    virtual bool expects_traffic() const = 0;
+
+    tls_socket& socket() { return m_socket; }
+    const peer_settings& settings() const { return m_settings; }
+    peer_counters& counters() { return *m_counters; }
+    bool session_started() const { return m_session != nullptr; }
+
+private:
+    struct session_deleter {
+        void operator()(nghttp2_session* session) const { nghttp2_session_del(session); }
+    };
+    struct callbacks;
+
+    void read();
+    void receive(std::size_t count);
+    void write();
+    void finish();
+    void probe();
+    void submit_message(std::int32_t& stream, std::span<const header_field> fields, outgoing_payload& payload,
+                        bool is_request);
+    void frame_received(const nghttp2_frame& frame);
+    void frame_sent(const nghttp2_frame& frame);
+
+    tls_socket m_socket;
+    role m_role;
+    peer_settings m_settings;
+    std::shared_ptr<peer_counters> m_counters;
+    std::unique_ptr<nghttp2_session, session_deleter> m_session;
+    boost::asio::steady_timer m_probe_timer;
+    boost::asio::steady_timer m_linger_timer;
+    std::array<std::uint8_t, 16 * 1024> m_read_buffer{};
+    std::vector<std::uint8_t> m_write_buffer;
+    bool m_in_session = false;
+    bool m_writing = false;
+    bool m_finishing = false;
+    bool m_closed = false;
+    bool m_heard = false;
+    bool m_probing = false;
+    bool m_goaway_pending = false;
+    // The stream whose reset by the peer nghttp2 is processing; 0 if none.
+    std::int32_t m_reset_by_peer = 0;
+};
+
+} // namespace mulberry::detail
--- /dev/null
+++ b/src/libs/peer/peerclient.cpp
@@ -0,0 +1,182 @@
+#include "libs/peer/peerclient.h"
+
+#include "libs/base/asyncerror.h"
+#include "libs/eventloop/eventloop.h"
+#include "libs/peer/clientconnection.h"
+
+#include <set>
+#include <unordered_map>
+
+namespace mulberry {
+
+using detail::client_connection;
+
+class peer_client::implementation final : public detail::client_connection_owner,
+                                          public std::enable_shared_from_this<implementation> {
+public:
+    implementation(event_loop& loop, tls_identity identity, const peer_settings& settings)
+        : m_loop(loop), m_identity(std::move(identity)), m_settings(settings)
+    {
+    }
+
+    peer_call_id call(std::string_view node_name, std::string_view address, std::string_view path, std::string payload,
+                      peer_callback done)
+    {
+        const peer_call_id id = ++m_last_id;
+        ++m_counters->calls;
+        const auto record = m_calls.emplace(id, call_record{std::move(done), {}}).first;
+        if (payload.size() > m_settings.max_message_bytes) {
+            ++m_counters->oversized_messages;
+            finished(id, captured_error<std::string>(peer_error::too_large));
+            return id;
+        }
+        const auto connection = m_stopping ? nullptr : connection_to(node_name, address);
+        if (!connection || connection->waiting_calls() >= m_settings.max_waiting_calls) {
+            finished(id, captured_error<std::string>(peer_error::not_sent));
+            return id;
+        }
+        record->second.connection = connection;
+        connection->submit(id, std::string(path), std::move(payload));
+        return id;
+    }
+
+    void cancel(peer_call_id id)
+    {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end())
+            return;
+        const auto connection = found->second.connection.lock();
+        m_calls.erase(found);
+        ++m_counters->calls_cancelled;
+        if (connection)
+            connection->cancel(id);
+    }
+
+    void stop(std::function<void()> done)
+    {
+        m_stopping = true;
+        m_stopped = std::move(done);
+        for (const auto& connection : copy_of_connections())
+            connection->retire();
+        check_stopped();
+    }
+
+    void drop()
+    {
+        m_calls.clear();
+        m_stopped = nullptr;
+        for (const auto& connection : copy_of_connections())
+            connection->close();
+    }
+
+    void finished(peer_call_id id, leaf::result<std::string> result) override
+    {
+        m_loop.post([weak = weak_from_this(), id, result = std::move(result)]() mutable {
+            if (const auto self = weak.lock())
+                self->deliver(id, std::move(result));
+        });
+    }
+
+    void connection_closed(client_connection& connection) override
+    {
+        const auto current = m_current.find(connection.node_name());
+        if (current != m_current.end() && current->second.get() == &connection)
+            m_current.erase(current);
+        m_connections.erase(std::static_pointer_cast<client_connection>(connection.shared_from_this()));
+        check_stopped();
+    }
+
+    const peer_counters& counters() const { return *m_counters; }
+    std::size_t open_connections() const { return m_connections.size(); }
+
+private:
+    struct call_record {
+        peer_callback done;
+        std::weak_ptr<client_connection> connection;
+    };
+
+    std::vector<std::shared_ptr<client_connection>> copy_of_connections() const
+    {
+        return {m_connections.begin(), m_connections.end()};
+    }
+
+    std::shared_ptr<client_connection> connection_to(std::string_view node_name, std::string_view address)
+    {
+        const auto found = m_current.find(node_name);
+        if (found != m_current.end()) {
+            const auto present = found->second;
+            if (present->usable() && present->address() == address)
+                return present;
+            m_current.erase(found);
+            present->retire();
+        }
+        auto made = std::make_shared<client_connection>(m_loop.context(), m_identity, m_settings, m_counters,
+                                                        weak_from_this(), std::string(node_name), std::string(address));
+        m_current.emplace(node_name, made);
+        m_connections.insert(made);
+        made->connect();
+        return made;
+    }
+
+    void deliver(peer_call_id id, leaf::result<std::string> result)
+    {
+        auto record = m_calls.extract(id);
+        if (!record.empty())
+            record.mapped().done(std::move(result));
+    }
+
+    void check_stopped()
+    {
+        if (m_stopping && m_connections.empty() && m_stopped)
+            m_loop.post(std::exchange(m_stopped, nullptr));
+    }
+
+    event_loop& m_loop;
+    tls_identity m_identity;
+    peer_settings m_settings;
+    std::shared_ptr<peer_counters> m_counters = std::make_shared<peer_counters>();
+    std::map<std::string, std::shared_ptr<client_connection>, std::less<>> m_current;
+    std::set<std::shared_ptr<client_connection>> m_connections;
+    std::unordered_map<peer_call_id, call_record> m_calls;
+    peer_call_id m_last_id = 0;
+    bool m_stopping = false;
+    std::function<void()> m_stopped;
+};
+
+peer_client::peer_client(event_loop& loop, tls_identity identity, const peer_settings& settings)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(identity), settings))
+{
+}
+
+peer_client::~peer_client()
+{
+    m_implementation->drop();
+}
+
+peer_call_id peer_client::call(std::string_view node_name, std::string_view address, std::string_view path,
+                               std::string payload, peer_callback done)
+{
+    return m_implementation->call(node_name, address, path, std::move(payload), std::move(done));
+}
+
+void peer_client::cancel(peer_call_id id)
+{
+    m_implementation->cancel(id);
+}
+
+void peer_client::stop(std::function<void()> done)
+{
+    m_implementation->stop(std::move(done));
+}
+
+const peer_counters& peer_client::counters() const
+{
+    return m_implementation->counters();
+}
+
+std::size_t peer_client::open_connections() const
+{
+    return m_implementation->open_connections();
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/libs/peer/peerserver.cpp
@@ -0,0 +1,195 @@
+#include "libs/peer/peerserver.h"
+
+#include "libs/base/asyncerror.h"
+#include "libs/base/log.h"
+#include "libs/eventloop/eventloop.h"
+#include "libs/peer/serverconnection.h"
+
+#include <set>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace mulberry {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+// Without a pause a failing accept, for example without free descriptors, would spin.
+constexpr std::chrono::milliseconds accept_pause{100};
+
+} // namespace
+
+class peer_server::implementation final : public detail::server_connection_owner,
+                                          public std::enable_shared_from_this<implementation> {
+public:
+    implementation(event_loop& loop, tls_identity identity, peer_handler& handler, const peer_settings& settings)
+        : m_loop(loop), m_identity(std::move(identity)), m_handler(handler), m_settings(settings),
+          m_acceptor(loop.context()), m_accept_timer(loop.context())
+    {
+    }
+
+    leaf::result<std::uint16_t> start(std::string_view address, std::uint16_t port)
+    {
+        error_code error;
+        const auto host = boost::asio::ip::make_address(address, error);
+        const tcp::endpoint endpoint(host, port);
+        if (error || m_acceptor.open(endpoint.protocol(), error) ||
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error) || m_acceptor.bind(endpoint, error) ||
+            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error)) {
+            log_error("peer", "Cannot listen on {}:{}: {}.", address, port, error.message());
+            return leaf::new_error(peer_error::listen_failed);
+        }
+        accept();
+        return m_acceptor.local_endpoint().port();
+    }
+
+    void stop(std::function<void()> done)
+    {
+        m_stopping = true;
+        m_stopped = std::move(done);
+        close_acceptor();
+        for (const auto& connection : copy_of_connections())
+            connection->drain();
+        check_stopped();
+    }
+
+    void drop()
+    {
+        m_dropped = true;
+        m_stopped = nullptr;
+        close_acceptor();
+        for (const auto& connection : copy_of_connections())
+            connection->close();
+    }
+
+    void deliver(peer_request request, std::shared_ptr<detail::stream_responder> responder) override
+    {
+        m_loop.post(
+            [weak = weak_from_this(), request = std::move(request), responder = std::move(responder)]() mutable {
+                const auto self = weak.lock();
+                if (self && !self->m_dropped && !responder->cancelled())
+                    self->m_handler.on_call(std::move(request), std::move(responder));
+            });
+    }
+
+    void post(std::function<void()> task) override { m_loop.post(std::move(task)); }
+
+    bool reserve(std::size_t bytes) override
+    {
+        if (m_receiving_bytes + bytes > m_settings.max_receiving_bytes)
+            return false;
+        m_receiving_bytes += bytes;
+        return true;
+    }
+
+    void release(std::size_t bytes) override { m_receiving_bytes -= bytes; }
+
+    void connection_closed(detail::server_connection& connection) override
+    {
+        m_connections.erase(std::static_pointer_cast<detail::server_connection>(connection.shared_from_this()));
+        check_stopped();
+    }
+
+    const peer_counters& counters() const { return *m_counters; }
+    std::size_t open_connections() const { return m_connections.size(); }
+
+private:
+    std::vector<std::shared_ptr<detail::server_connection>> copy_of_connections() const
+    {
+        return {m_connections.begin(), m_connections.end()};
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([weak = weak_from_this()](const error_code& error, tcp::socket socket) {
+            const auto self = weak.lock();
+            if (!self || !self->m_acceptor.is_open())
+                return;
+            if (error)
+                self->pause_accepting();
+            else
+                self->take(std::move(socket));
+        });
+    }
+
+    void take(tcp::socket socket)
+    {
+        if (m_connections.size() < m_settings.max_connections) {
+            auto connection = std::make_shared<detail::server_connection>(std::move(socket), m_identity, m_settings,
+                                                                          m_counters, weak_from_this());
+            m_connections.insert(connection);
+            connection->accept();
+        }
+        accept();
+    }
+
+    void pause_accepting()
+    {
+        m_accept_timer.expires_after(accept_pause);
+        m_accept_timer.async_wait([weak = weak_from_this()](const error_code& error) {
+            const auto self = weak.lock();
+            if (!error && self && self->m_acceptor.is_open())
+                self->accept();
+        });
+    }
+
+    void close_acceptor()
+    {
+        error_code ignored;
+        m_acceptor.close(ignored);
+        m_accept_timer.cancel();
+    }
+
+    void check_stopped()
+    {
+        if (m_stopping && m_connections.empty() && m_stopped)
+            m_loop.post(std::exchange(m_stopped, nullptr));
+    }
+
+    event_loop& m_loop;
+    tls_identity m_identity;
+    peer_handler& m_handler;
+    peer_settings m_settings;
+    std::shared_ptr<peer_counters> m_counters = std::make_shared<peer_counters>();
+    tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_accept_timer;
+    std::set<std::shared_ptr<detail::server_connection>> m_connections;
+    std::size_t m_receiving_bytes = 0;
+    bool m_stopping = false;
+    bool m_dropped = false;
+    std::function<void()> m_stopped;
+};
+
+peer_server::peer_server(event_loop& loop, tls_identity identity, peer_handler& handler, const peer_settings& settings)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(identity), handler, settings))
+{
+}
+
+peer_server::~peer_server()
+{
+    m_implementation->drop();
+}
+
+leaf::result<std::uint16_t> peer_server::start(std::string_view address, std::uint16_t port)
+{
+    return m_implementation->start(address, port);
+}
+
+void peer_server::stop(std::function<void()> done)
+{
+    m_implementation->stop(std::move(done));
+}
+
+const peer_counters& peer_server::counters() const
+{
+    return m_implementation->counters();
+}
+
+std::size_t peer_server::open_connections() const
+{
+    return m_implementation->open_connections();
+}
+
+} // namespace mulberry
--- a/src/libs/peer/peersettings.h
+++ b/src/libs/peer/peersettings.h
@@ -15,6 +15,8 @@
     std::uint32_t max_concurrent_streams = 1000;
     /// Calls to one peer that wait for the connection or a free stream; further ones fail as not_sent.
     std::size_t max_waiting_calls = 1000;
+    /// Announced bytes of calls that a server is still receiving; further calls are refused as not processed.
+    std::size_t max_receiving_bytes = 64 * 1024 * 1024;
     /// Connections that a server accepts; further ones are closed at once.
     std::size_t max_connections = 4096;
     /// From the start of the connection until the peer's first SETTINGS frame.
