--- /dev/null
+++ b/src/libs/http/curlhttpclient.cpp
@@ -0,0 +1,226 @@
+#include "libs/http/curlhttpclient.h"
+
+#include "libs/base/asyncerror.h"
+#include "libs/base/log.h"
+#include "libs/eventloop/eventloop.h"
+#include "libs/http/curltransfer.h"
+
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include <curl/curl.h>
+
+namespace mulberry {
+
+using detail::curl_transfer;
+
+namespace {
+
+// libcurl needs no regular wake-up; this only bounds the effect of a lost one.
+constexpr int poll_limit_ms = 1000;
+
+} // namespace
+
+/// The thread that runs libcurl, and the callbacks of the event loop's side.
+class curl_http_client::worker : public std::enable_shared_from_this<worker> {
+public:
+    worker(event_loop& loop, const curl_client_settings& settings) : m_loop(loop), m_settings(settings)
+    {
+        static const CURLcode global = curl_global_init(CURL_GLOBAL_DEFAULT);
+        if (global != CURLE_OK)
+            log_error("http", "libcurl cannot be initialised: {}.", curl_easy_strerror(global));
+        m_multi.reset(curl_multi_init());
+        curl_multi_setopt(m_multi.get(), CURLMOPT_MAX_HOST_CONNECTIONS, m_settings.max_connections_per_host);
+        curl_multi_setopt(m_multi.get(), CURLMOPT_MAXCONNECTS, m_settings.max_kept_connections);
+        m_thread = std::thread([this] { run(); });
+    }
+
+    /// Ends the thread; no callback comes afterwards.
+    void shut_down()
+    {
+        m_calls.clear();
+        push(quit_command{});
+        m_thread.join();
+    }
+
+    void start(http_call_id id, http_request request, std::function<void(std::string_view)> on_piece,
+               http_callback done)
+    {
+        const bool streams = on_piece != nullptr;
+        const bool expired = !streams && request.timeout.count() <= 0;
+        m_calls.emplace(id, call_record{std::move(done), std::move(on_piece)});
+        if (expired) {
+            finish(id, captured_error<http_answer>(http_error::not_sent));
+            return;
+        }
+        curl_transfer::piece_handler forward;
+        if (streams)
+            forward = [this, id](std::string_view piece) { forward_piece(id, std::string(piece)); };
+        push(std::make_unique<curl_transfer>(id, std::move(request), m_settings, std::move(forward)));
+    }
+
+    void cancel(http_call_id id)
+    {
+        if (m_calls.erase(id) != 0)
+            push(id);
+    }
+
+private:
+    struct call_record {
+        http_callback done;
+        std::function<void(std::string_view)> on_piece;
+    };
+    struct quit_command {};
+    using command = std::variant<std::unique_ptr<curl_transfer>, http_call_id, quit_command>;
+    struct multi_deleter {
+        void operator()(CURLM* multi) const { curl_multi_cleanup(multi); }
+    };
+
+    void push(command next)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_commands.push_back(std::move(next));
+        }
+        curl_multi_wakeup(m_multi.get());
+    }
+
+    void run()
+    {
+        while (take_commands()) {
+            int running = 0;
+            curl_multi_perform(m_multi.get(), &running);
+            take_results();
+            curl_multi_poll(m_multi.get(), nullptr, 0, poll_limit_ms, nullptr);
+        }
+        for (const auto& [id, transfer] : m_transfers)
+            curl_multi_remove_handle(m_multi.get(), transfer->handle());
+        m_transfers.clear();
+    }
+
+    /// False once the client is being destroyed.
+    bool take_commands()
+    {
+        std::vector<command> commands;
+        {
+            const std::lock_guard lock(m_mutex);
+            commands.swap(m_commands);
+        }
+        for (command& next : commands) {
+            if (std::holds_alternative<quit_command>(next))
+                return false;
+            if (const auto* id = std::get_if<http_call_id>(&next))
+                abort(*id);
+            else
+                begin(std::move(std::get<std::unique_ptr<curl_transfer>>(next)));
+        }
+        return true;
+    }
+
+    void begin(std::unique_ptr<curl_transfer> transfer)
+    {
+        const http_call_id id = transfer->id();
+        if (!transfer->prepare() || curl_multi_add_handle(m_multi.get(), transfer->handle()) != CURLM_OK) {
+            finish(id, captured_error<http_answer>(http_error::not_sent));
+            return;
+        }
+        m_transfers.emplace(id, std::move(transfer));
+    }
+
+    void abort(http_call_id id)
+    {
+        const auto found = m_transfers.find(id);
+        if (found == m_transfers.end())
+            return;
+        curl_multi_remove_handle(m_multi.get(), found->second->handle());
+        m_transfers.erase(found);
+    }
+
+    void take_results()
+    {
+        int left = 0;
+        while (const CURLMsg* message = curl_multi_info_read(m_multi.get(), &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            const CURLcode code = message->data.result;
+            curl_transfer* transfer = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+            const http_call_id id = transfer->id();
+            finish(id, transfer->result(code));
+            abort(id);
+        }
+    }
+
+    void finish(http_call_id id, leaf::result<http_answer> result)
+    {
+        m_loop.post([weak = weak_from_this(), id, result = std::move(result)]() mutable {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            auto record = self->m_calls.extract(id);
+            if (!record.empty())
+                record.mapped().done(std::move(result));
+        });
+    }
+
+    void forward_piece(http_call_id id, std::string piece)
+    {
+        m_loop.post([weak = weak_from_this(), id, piece = std::move(piece)] {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            const auto found = self->m_calls.find(id);
+            if (found == self->m_calls.end())
+                return;
+            // Copied, because the callback may cancel its own call.
+            const auto on_piece = found->second.on_piece;
+            on_piece(piece);
+        });
+    }
+
+    event_loop& m_loop;
+    curl_client_settings m_settings;
+    // Used on the event loop only.
+    std::unordered_map<http_call_id, call_record> m_calls;
+    std::mutex m_mutex;
+    std::vector<command> m_commands;
+    std::unique_ptr<CURLM, multi_deleter> m_multi;
+    // Used on the client's thread only.
+    std::unordered_map<http_call_id, std::unique_ptr<curl_transfer>> m_transfers;
+    std::thread m_thread;
+};
+
+curl_http_client::curl_http_client(event_loop& loop, const curl_client_settings& settings)
+    : m_worker(std::make_shared<worker>(loop, settings))
+{
+}
+
+curl_http_client::~curl_http_client()
+{
+    m_worker->shut_down();
+}
+
+http_call_id curl_http_client::send(http_request request, http_callback done)
+{
+    const http_call_id id = ++m_last_id;
+    m_worker->start(id, std::move(request), nullptr, std::move(done));
+    return id;
+}
+
+void curl_http_client::cancel(http_call_id id)
+{
+    m_worker->cancel(id);
+}
+
+http_call_id curl_http_client::stream(http_request request, std::function<void(std::string_view)> on_piece,
+                                      http_callback done)
+{
+    const http_call_id id = ++m_last_id;
+    m_worker->start(id, std::move(request), std::move(on_piece), std::move(done));
+    return id;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/libs/http/curltransfer.cpp
@@ -0,0 +1,199 @@
+#include "libs/http/curltransfer.h"
+
+#include "libs/base/asyncerror.h"
+#include "libs/http/httpfields.h"
+
+#include <algorithm>
+
+namespace mulberry::detail {
+
+namespace {
+
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    const std::size_t first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+} // namespace
+
+struct curl_transfer::callbacks {
+    static curl_transfer& self(void* data) { return *static_cast<curl_transfer*>(data); }
+
+    static int before_request(void* data, char*, char*, int, int)
+    {
+        // libcurl sends a request again when a kept connection is lost before any byte of the answer, although the
+        // first copy may have been received.
+        if (self(data).m_maybe_sent)
+            return CURL_PREREQFUNC_ABORT;
+        self(data).m_maybe_sent = true;
+        return CURL_PREREQFUNC_OK;
+    }
+
+    static std::size_t header(char* bytes, std::size_t size, std::size_t count, void* data)
+    {
+        return self(data).take_field_line({bytes, size * count}) ? size * count : 0;
+    }
+
+    static std::size_t body(char* bytes, std::size_t size, std::size_t count, void* data)
+    {
+        return self(data).take_piece({bytes, size * count}) ? size * count : 0;
+    }
+};
+
+curl_transfer::curl_transfer(http_call_id id, http_request request, const curl_client_settings& settings,
+                             piece_handler on_piece)
+    : m_id(id), m_request(std::move(request)), m_settings(settings), m_on_piece(std::move(on_piece)),
+      m_handle(curl_easy_init())
+{
+}
+
+bool curl_transfer::prepare()
+{
+    if (!m_handle || !is_token(m_request.method) || !prepare_fields())
+        return false;
+    CURL* handle = m_handle.get();
+    curl_easy_setopt(handle, CURLOPT_URL, m_request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    // The environment's proxy settings must not redirect traffic between the parts of a deployment.
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, callbacks::before_request);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, callbacks::header);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, callbacks::body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
+    prepare_body();
+    prepare_limits();
+    return true;
+}
+
+bool curl_transfer::prepare_fields()
+{
+    curl_slist* list = nullptr;
+    const auto append = [&list](const std::string& line) {
+        curl_slist* longer = curl_slist_append(list, line.c_str());
+        list = longer == nullptr ? list : longer;
+    };
+    bool valid = true;
+    for (const auto& [name, value] : m_request.headers) {
+        valid = valid && is_token(name) && is_field_value(value);
+        if (is_connection_field(name))
+            continue;
+        // libcurl drops "Name:" and sends "Name;" as an empty field.
+        append(trim(value).empty() ? name + ";" : name + ": " + value);
+    }
+    // Without these lines libcurl adds fields of its own.
+    for (const char* name : {"Accept", "Content-Type", "User-Agent"}) {
+        if (std::ranges::none_of(m_request.headers, [name](const auto& field) { return same_name(field.first, name); }))
+            append(std::string(name) + ":");
+    }
+    append("Expect:");
+    m_fields.reset(list);
+    curl_easy_setopt(m_handle.get(), CURLOPT_HTTPHEADER, list);
+    return valid;
+}
+
+void curl_transfer::prepare_body()
+{
+    CURL* handle = m_handle.get();
+    const std::string& method = m_request.method;
+    if (method == "HEAD") {
+        curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (!m_request.body.empty() || method == "POST" || method == "PUT" || method == "PATCH") {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_request.body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, m_request.body.data());
+    }
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, method.c_str());
+}
+
+void curl_transfer::prepare_limits()
+{
+    CURL* handle = m_handle.get();
+    if (m_request.timeout.count() > 0) {
+        const auto limit = std::chrono::ceil<std::chrono::milliseconds>(m_request.timeout);
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(limit.count()));
+    }
+    const auto connect_limit = std::chrono::ceil<std::chrono::milliseconds>(m_settings.connect_timeout);
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connect_limit.count()));
+}
+
+bool curl_transfer::take_field_line(std::string_view line)
+{
+    // Lines after the final header block are trailers.
+    if (m_fields_done)
+        return true;
+    m_header_bytes += line.size();
+    if (m_header_bytes > m_settings.max_header_bytes) {
+        m_too_large = true;
+        return false;
+    }
+    if (line.starts_with("HTTP/")) {
+        m_answer.headers.clear();
+        return true;
+    }
+    if (trim(line).empty()) {
+        long status = 0;
+        curl_easy_getinfo(m_handle.get(), CURLINFO_RESPONSE_CODE, &status);
+        m_answer.status = static_cast<int>(status);
+        m_fields_done = status >= 200;
+        return true;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos)
+        m_answer.headers.emplace_back(line.substr(0, colon), trim(line.substr(colon + 1)));
+    return true;
+}
+
+bool curl_transfer::take_piece(std::string_view piece)
+{
+    if (m_on_piece) {
+        m_on_piece(piece);
+        return true;
+    }
+    if (m_answer.body.size() + piece.size() > m_settings.max_answer_bytes) {
+        m_too_large = true;
+        return false;
+    }
+    m_answer.body += piece;
+    return true;
+}
+
+bool curl_transfer::end_is_known() const
+{
+    if (m_request.method == "HEAD" || m_answer.status == 204 || m_answer.status == 304)
+        return true;
+    const body_framing framing = framing_of(m_answer.headers);
+    return framing == body_framing::length || framing == body_framing::chunked;
+}
+
+std::optional<http_error> curl_transfer::error_of(CURLcode code) const
+{
+    if (!m_maybe_sent)
+        return http_error::not_sent;
+    if (m_too_large)
+        return http_error::too_large;
+    if (code == CURLE_OPERATION_TIMEDOUT)
+        return http_error::timed_out;
+    if (code == CURLE_OK && m_fields_done)
+        return end_is_known() ? std::nullopt : std::optional(http_error::truncated);
+    return m_fields_done ? http_error::truncated : http_error::connection_lost;
+}
+
+leaf::result<http_answer> curl_transfer::result(CURLcode code)
+{
+    if (const std::optional<http_error> error = error_of(code))
+        return captured_error<http_answer>(*error);
+    return std::move(m_answer);
+}
+
+} // namespace mulberry::detail
--- /dev/null
+++ b/src/libs/http/httpfields.cpp
@@ -0,0 +1,77 @@
+#include "libs/http/httpfields.h"
+
+#include <algorithm>
+#include <array>
+
+namespace mulberry {
+
+namespace {
+
+char to_lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+bool is_token_char(char c)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    const char lower = to_lower(c);
+    return (lower >= 'a' && lower <= 'z') || (c >= '0' && c <= '9') || marks.find(c) != std::string_view::npos;
+}
+
+} // namespace
+
+std::string_view find_header(const http_headers& headers, std::string_view name)
+{
+    const auto found =
+        std::ranges::find_if(headers, [name](const auto& field) { return detail::same_name(field.first, name); });
+    return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
+namespace detail {
+
+bool same_name(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right, {}, to_lower, to_lower);
+}
+
+bool is_token(std::string_view text)
+{
+    return !text.empty() && std::ranges::all_of(text, is_token_char);
+}
+
+bool is_field_value(std::string_view text)
+{
+    return std::ranges::none_of(text, [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
+}
+
+bool is_connection_field(std::string_view name)
+{
+    constexpr std::array<std::string_view, 7> names{
+        "connection", "content-length", "transfer-encoding", "keep-alive", "upgrade", "proxy-connection", "expect"};
+    return std::ranges::any_of(names, [name](std::string_view other) { return same_name(name, other); });
+}
+
+body_framing framing_of(const http_headers& headers)
+{
+    body_framing framing = body_framing::none;
+    for (const auto& [name, value] : headers) {
+        const bool is_length = same_name(name, "content-length");
+        if (!is_length && !same_name(name, "transfer-encoding"))
+            continue;
+        if (framing != body_framing::none)
+            return body_framing::contradictory;
+        const bool digits = !value.empty() && std::ranges::all_of(value, [](char c) { return c >= '0' && c <= '9'; });
+        if (is_length && digits)
+            framing = body_framing::length;
+        else if (!is_length && same_name(value, "chunked"))
+            framing = body_framing::chunked;
+        else
+            return body_framing::contradictory;
+    }
+    return framing;
+}
+
+} // namespace detail
+
+} // namespace mulberry
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libs/http/httpclient.h"
+#include "libs/http/httpfields.h"
 
 #include <memory>
 
@@ -20,9 +20,6 @@
     std::string remote_address;
 };
 
-/// The value of the first field with this name, compared without case; empty if there is none.
-std::string_view find_header(const http_headers& headers, std::string_view name);
-
 /// Takes the answer to one request. Used on the event loop only. If the last reference goes away without an answer, the
 /// caller gets status 500.
 class http_responder {
