--- /dev/null
+++ b/src/plugins/admission/admissionqueue.cpp
@@ -0,0 +1,327 @@
+#include "plugins/admission/admissionqueue.h"
+
+#include "libs/base/log.h"
+#include "plugins/admission/concurrencylimiter.h"
+#include "plugins/admission/fairqueue.h"
+#include "plugins/admission/importanceordercheck.h"
+#include "plugins/admission/shedstatistics.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace mulberry {
+
+namespace {
+
+constexpr std::string_view log_part = "admission";
+/// The caller's jitter spreads retries around this time.
+constexpr duration retry_after_shed{1'000'000};
+
+} // namespace
+
+class admission_queue::implementation {
+public:
+    implementation(admission_settings settings, timer_service& timers, admission_listener& listener)
+        : m_settings(settings), m_timers(timers), m_listener(listener), m_queue(settings.order),
+          m_limiter(settings.slots, settings.learn_limit, timers.now()), m_statistics(timers.now())
+    {
+    }
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    ~implementation() { m_timers.cancel(m_expiry_timer); }
+
+    void offer(admission_request request);
+    bool cancel(const attempt_id& id);
+    void finished(const attempt_id& id, duration service_time, finish_result result);
+    void begin_leaving();
+    void set_slots(std::uint32_t slots);
+
+    load_report report(std::string_view organisation) const;
+    std::size_t waiting() const { return m_queue.size(); }
+    std::size_t running() const { return m_running.size(); }
+    std::uint32_t concurrency_limit() const { return m_limiter.limit(); }
+
+private:
+    void admit_while_free();
+    void admit(const detail::waiting_request& item);
+    void shed(const detail::waiting_request& item, refusal_reason reason);
+    void refuse_deadline(const detail::waiting_request& item);
+    void enqueue(detail::waiting_request item);
+    void on_removed(const detail::waiting_request& item);
+    void make_room();
+
+    bool reachable(time_point deadline, duration wait) const;
+    duration expected_wait(importance level) const;
+    std::size_t queue_limit() const;
+    bool standing() const;
+    duration longest_wait() const { return standing() ? m_settings.standing_delay : m_settings.burst_delay; }
+    void arm_expiry();
+    void expire();
+    void note_use();
+
+    admission_settings m_settings;
+    timer_service& m_timers;
+    admission_listener& m_listener;
+    detail::fair_queue m_queue;
+    detail::concurrency_limiter m_limiter;
+    detail::shed_statistics m_statistics;
+    detail::importance_order_check m_order_check;
+    std::unordered_map<attempt_id, importance> m_running;
+    /// Since when the queue has not been empty.
+    time_point m_waiting_since;
+    timer_id m_expiry_timer = 0;
+    bool m_leaving = false;
+};
+
+void admission_queue::implementation::offer(admission_request request)
+{
+    const attempt_id id = request.id;
+    if (m_running.contains(id) || m_queue.contains(id))
+        return m_listener.on_refused(id, {refusal_reason::duplicate_attempt, outcome::unknown, duration{0}});
+    if (m_leaving)
+        return m_listener.on_refused(id, not_run(refusal_reason::leaving));
+    if (request.deadline <= m_timers.now())
+        return m_listener.on_refused(id, not_run(refusal_reason::deadline_expired));
+    if (!reachable(request.deadline, expected_wait(request.level)))
+        return m_listener.on_refused(id, not_run(refusal_reason::deadline_unreachable));
+    enqueue({std::move(request), m_timers.now()});
+    admit_while_free();
+    make_room();
+    arm_expiry();
+}
+
+bool admission_queue::implementation::cancel(const attempt_id& id)
+{
+    const auto item = m_queue.remove(id);
+    if (!item)
+        return false;
+    on_removed(*item);
+    return true;
+}
+
+void admission_queue::implementation::finished(const attempt_id& id, duration service_time, finish_result result)
+{
+    const auto it = m_running.find(id);
+    if (it == m_running.end())
+        return;
+    note_use();
+    const bool in_full_use = m_running.size() >= m_limiter.limit();
+    m_running.erase(it);
+    m_limiter.on_finish(m_timers.now(), service_time, result, in_full_use);
+    admit_while_free();
+}
+
+void admission_queue::implementation::begin_leaving()
+{
+    m_leaving = true;
+    log_info(log_part, "Leaving; {} requests wait and {} run.", waiting(), running());
+}
+
+void admission_queue::implementation::set_slots(std::uint32_t slots)
+{
+    note_use();
+    m_settings.slots = std::max(slots, 1U);
+    m_limiter.set_slots(slots);
+    admit_while_free();
+}
+
+load_report admission_queue::implementation::report(std::string_view organisation) const
+{
+    load_report result = m_statistics.report(m_timers.now(), organisation);
+    result.concurrency_limit = m_limiter.limit();
+    return result;
+}
+
+void admission_queue::implementation::admit_while_free()
+{
+    while (m_running.size() < m_limiter.limit()) {
+        const auto item = m_queue.pop();
+        if (!item)
+            return;
+        on_removed(*item);
+        if (!reachable(item->request.deadline, duration{0})) {
+            refuse_deadline(*item);
+            continue;
+        }
+        if (!m_order_check.admitting(item->request.level)) {
+            m_listener.on_refused(item->request.id, not_run(refusal_reason::invariant_violated));
+            continue;
+        }
+        admit(*item);
+    }
+}
+
+void admission_queue::implementation::admit(const detail::waiting_request& item)
+{
+    const time_point now = m_timers.now();
+    note_use();
+    m_statistics.on_wait(now, now - item.since);
+    m_statistics.on_decision(now, item.request.organisation, item.request.level, true);
+    m_running.emplace(item.request.id, item.request.level);
+    m_listener.on_admitted(item.request.id);
+}
+
+void admission_queue::implementation::shed(const detail::waiting_request& item, refusal_reason reason)
+{
+    const time_point now = m_timers.now();
+    m_order_check.shedding(item.request.level);
+    m_statistics.on_wait(now, now - item.since);
+    m_statistics.on_decision(now, item.request.organisation, item.request.level, false);
+    m_listener.on_refused(item.request.id, not_run(reason, retry_after_shed));
+}
+
+void admission_queue::implementation::refuse_deadline(const detail::waiting_request& item)
+{
+    const bool expired = item.request.deadline <= m_timers.now();
+    m_statistics.on_wait(m_timers.now(), m_timers.now() - item.since);
+    m_listener.on_refused(item.request.id,
+                          not_run(expired ? refusal_reason::deadline_expired : refusal_reason::deadline_unreachable));
+}
+
+void admission_queue::implementation::enqueue(detail::waiting_request item)
+{
+    if (m_queue.size() == 0)
+        m_waiting_since = m_timers.now();
+    m_order_check.enqueued(item.request.level);
+    m_queue.push(std::move(item));
+}
+
+void admission_queue::implementation::on_removed(const detail::waiting_request& item)
+{
+    m_order_check.removed(item.request.level);
+    if (m_queue.size() > 0 || m_expiry_timer == 0)
+        return;
+    m_timers.cancel(m_expiry_timer);
+    m_expiry_timer = 0;
+}
+
+void admission_queue::implementation::make_room()
+{
+    while (m_queue.size() > queue_limit()) {
+        const auto item = m_queue.evict();
+        if (!item)
+            return;
+        on_removed(*item);
+        const bool same_importance = item->request.level == m_queue.lowest();
+        shed(*item, same_importance ? refusal_reason::queue_full : refusal_reason::importance_shed);
+    }
+}
+
+bool admission_queue::implementation::reachable(time_point deadline, duration wait) const
+{
+    const time_point now = m_timers.now();
+    return now + wait + m_limiter.expected_service_time(now) < deadline;
+}
+
+duration admission_queue::implementation::expected_wait(importance level) const
+{
+    if (m_running.size() < m_limiter.limit())
+        return duration{0};
+    const auto ahead = static_cast<std::int64_t>(m_queue.size_from(level));
+    return m_limiter.expected_service_time(m_timers.now()) * ahead / m_limiter.limit();
+}
+
+std::size_t admission_queue::implementation::queue_limit() const
+{
+    return m_settings.queue_limit == 0 ? m_settings.slots : m_settings.queue_limit;
+}
+
+bool admission_queue::implementation::standing() const
+{
+    return m_queue.size() > 0 && m_timers.now() - m_waiting_since >= m_settings.burst_delay;
+}
+
+void admission_queue::implementation::arm_expiry()
+{
+    const detail::waiting_request* oldest = m_queue.oldest();
+    if (oldest == nullptr || m_expiry_timer != 0)
+        return;
+    time_point due = oldest->since + longest_wait();
+    if (!standing())
+        due = std::min(due, m_waiting_since + m_settings.burst_delay);
+    m_expiry_timer = m_timers.schedule(due - m_timers.now(), [this] {
+        m_expiry_timer = 0;
+        expire();
+    });
+}
+
+void admission_queue::implementation::expire()
+{
+    const time_point now = m_timers.now();
+    while (const detail::waiting_request* oldest = m_queue.oldest()) {
+        if (now - oldest->since < longest_wait())
+            break;
+        const attempt_id id = oldest->request.id;
+        // If this request could not start in time, no less important one can: these go first.
+        const auto below = m_queue.take_below(oldest->request.level);
+        const auto item = m_queue.remove(id);
+        for (const auto& each : below)
+            on_removed(each);
+        on_removed(*item);
+        for (const auto& each : below)
+            shed(each, refusal_reason::importance_shed);
+        shed(*item, refusal_reason::queue_delay);
+    }
+    arm_expiry();
+}
+
+void admission_queue::implementation::note_use()
+{
+    m_statistics.on_use(m_timers.now(), static_cast<double>(m_running.size()) / static_cast<double>(m_limiter.limit()));
+}
+
+admission_queue::admission_queue(admission_settings settings, timer_service& timers, admission_listener& listener)
+    : m_implementation(std::make_unique<implementation>(settings, timers, listener))
+{
+}
+
+admission_queue::~admission_queue() = default;
+
+void admission_queue::offer(admission_request request)
+{
+    m_implementation->offer(std::move(request));
+}
+
+bool admission_queue::cancel(const attempt_id& id)
+{
+    return m_implementation->cancel(id);
+}
+
+void admission_queue::finished(const attempt_id& id, duration service_time, finish_result result)
+{
+    m_implementation->finished(id, service_time, result);
+}
+
+void admission_queue::begin_leaving()
+{
+    m_implementation->begin_leaving();
+}
+
+void admission_queue::set_slots(std::uint32_t slots)
+{
+    m_implementation->set_slots(slots);
+}
+
+load_report admission_queue::report(std::string_view organisation) const
+{
+    return m_implementation->report(organisation);
+}
+
+std::size_t admission_queue::waiting() const
+{
+    return m_implementation->waiting();
+}
+
+std::size_t admission_queue::running() const
+{
+    return m_implementation->running();
+}
+
+std::uint32_t admission_queue::concurrency_limit() const
+{
+    return m_implementation->concurrency_limit();
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/plugins/admission/concurrencylimiter.cpp
@@ -0,0 +1,109 @@
+#include "plugins/admission/concurrencylimiter.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace mulberry::detail {
+
+namespace {
+
+constexpr duration window{100'000};
+constexpr duration longest_window{1'000'000};
+constexpr std::size_t least_samples = 10;
+constexpr std::size_t most_samples = 1'024;
+/// Service times vary with the mix of requests; only a rise beyond this factor counts as queueing in the upstream.
+constexpr double tolerance = 1.5;
+constexpr double growth = 1.3;
+constexpr double steepest_fall = 0.7;
+/// The baseline follows a lasting change of the service time by 1% a second.
+constexpr double baseline_drift = 0.001;
+/// Share of requests in a window that may time out for reasons other than load.
+constexpr double tolerated_timeouts = 0.1;
+/// The limit stays above this part of the slots; from a lower one the growth back took longer than the recovery target.
+constexpr double lowest_part = 0.125;
+constexpr double estimate_half_life_s = 1;
+
+} // namespace
+
+concurrency_limiter::concurrency_limiter(std::uint32_t slots, bool learn, time_point now)
+    : m_slots(std::max(slots, 1U)), m_learn(learn), m_limit(m_slots), m_last_success(now), m_window_start(now)
+{
+}
+
+void concurrency_limiter::set_slots(std::uint32_t slots)
+{
+    const double part = m_limit / m_slots;
+    m_slots = std::max(slots, 1U);
+    m_limit = std::clamp(part * m_slots, lowest_limit(), static_cast<double>(m_slots));
+}
+
+void concurrency_limiter::on_finish(time_point now, duration service_time, finish_result result, bool in_full_use)
+{
+    if (result == finish_result::cancelled)
+        return;
+    ++m_finished;
+    m_in_full_use = m_in_full_use || in_full_use;
+    if (result == finish_result::timed_out)
+        ++m_timed_out;
+    if (result == finish_result::succeeded) {
+        m_last_success = now;
+        if (m_samples_us.size() < most_samples)
+            m_samples_us.push_back(static_cast<double>(service_time.count()));
+    }
+    const bool enough = m_finished >= std::max(least_samples, static_cast<std::size_t>(limit() / 2));
+    if (now - m_window_start >= (enough ? window : longest_window))
+        close_window(now);
+}
+
+void concurrency_limiter::close_window(time_point now)
+{
+    const bool many_timeouts = m_timed_out > tolerated_timeouts * m_finished;
+    if (!m_samples_us.empty()) {
+        const auto middle = m_samples_us.begin() + static_cast<std::ptrdiff_t>(m_samples_us.size() / 2);
+        std::nth_element(m_samples_us.begin(), middle, m_samples_us.end());
+        m_median_us = *middle;
+    }
+    if (many_timeouts) {
+        m_limit = std::max(m_limit * steepest_fall, lowest_limit());
+    }
+    else if (!m_samples_us.empty()) {
+        adapt(std::accumulate(m_samples_us.begin(), m_samples_us.end(), 0.0) /
+              static_cast<double>(m_samples_us.size()));
+    }
+    m_samples_us.clear();
+    m_finished = 0;
+    m_timed_out = 0;
+    m_in_full_use = false;
+    m_window_start = now;
+}
+
+void concurrency_limiter::adapt(double mean_us)
+{
+    const bool enough = m_samples_us.size() >= least_samples;
+    const bool lower = m_baseline_us == 0 || (enough && mean_us < m_baseline_us);
+    m_baseline_us += (mean_us - m_baseline_us) * (lower ? 1 : baseline_drift);
+    if (!m_learn)
+        return;
+    const double gradient = tolerance * m_baseline_us / std::max(mean_us, 1.0);
+    if (gradient < 1) {
+        m_limit *= std::max(gradient, steepest_fall);
+    }
+    else if (m_in_full_use) {
+        m_limit = std::max(m_limit + 1, m_limit * growth);
+    }
+    m_limit = std::clamp(m_limit, lowest_limit(), static_cast<double>(m_slots));
+}
+
+double concurrency_limiter::lowest_limit() const
+{
+    return std::max(1.0, lowest_part * m_slots);
+}
+
+duration concurrency_limiter::expected_service_time(time_point now) const
+{
+    const double idle_s = to_seconds(now - m_last_success);
+    return duration{static_cast<std::int64_t>(m_median_us * std::exp2(-idle_s / estimate_half_life_s))};
+}
+
+} // namespace mulberry::detail
--- /dev/null
+++ b/src/plugins/admission/fairqueue.cpp
@@ -0,0 +1,130 @@
+#include "plugins/admission/fairqueue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberry::detail {
+
+void fair_queue::push(waiting_request item)
+{
+    const auto index = static_cast<std::size_t>(item.request.level);
+    level_queue& level = m_levels[index];
+    const auto owner = level.flows.try_emplace(item.request.organisation).first;
+    auto& [entries, tag, turn] = owner->second;
+    if (entries.empty()) {
+        tag = std::max(tag, level.virtual_time);
+        turn = ++m_turns;
+        level.ready.emplace(tag, turn, owner->first);
+    }
+    const auto position = entries.insert(entries.end(), entry{std::move(item), {}});
+    position->age = m_ages.insert(m_ages.end(), &position->item);
+    m_index.emplace(position->item.request.id, location{index, owner, position});
+    ++level.size;
+}
+
+std::optional<waiting_request> fair_queue::pop()
+{
+    for (std::size_t index = m_levels.size(); index-- > 0;) {
+        level_queue& level = m_levels[index];
+        if (level.ready.empty())
+            continue;
+        const auto [tag, turn, organisation] = *level.ready.begin();
+        level.ready.erase(level.ready.begin());
+        const auto owner = level.flows.find(organisation);
+        level.virtual_time = tag;
+        owner->second.tag = tag + 1;
+        owner->second.turn = ++m_turns;
+        level.ready.emplace(owner->second.tag, owner->second.turn, owner->first);
+        auto& entries = owner->second.entries;
+        const auto position = m_order == queue_order::oldest_first ? entries.begin() : std::prev(entries.end());
+        return take({index, owner, position});
+    }
+    return std::nullopt;
+}
+
+std::optional<waiting_request> fair_queue::remove(const attempt_id& id)
+{
+    const auto it = m_index.find(id);
+    if (it == m_index.end())
+        return std::nullopt;
+    return take(location{it->second});
+}
+
+std::optional<waiting_request> fair_queue::evict()
+{
+    for (std::size_t index = 0; index < m_levels.size(); ++index) {
+        level_queue& level = m_levels[index];
+        if (level.ready.empty())
+            continue;
+        auto last = level.flows.end();
+        double last_end = 0;
+        for (const auto& [tag, turn, organisation] : level.ready) {
+            const auto owner = level.flows.find(organisation);
+            const double end = tag + static_cast<double>(owner->second.entries.size());
+            if (last == level.flows.end() || end >= last_end) {
+                last = owner;
+                last_end = end;
+            }
+        }
+        return take_last_served(index, last);
+    }
+    return std::nullopt;
+}
+
+waiting_request fair_queue::take_last_served(std::size_t level, flow_map::iterator source)
+{
+    auto& entries = source->second.entries;
+    const auto position = m_order == queue_order::oldest_first ? std::prev(entries.end()) : entries.begin();
+    return take({level, source, position});
+}
+
+std::vector<waiting_request> fair_queue::take_below(importance level)
+{
+    std::vector<waiting_request> taken;
+    for (std::size_t index = 0; index < static_cast<std::size_t>(level); ++index) {
+        level_queue& queue = m_levels[index];
+        while (!queue.ready.empty())
+            taken.push_back(take_last_served(index, queue.flows.find(std::get<2>(*queue.ready.begin()))));
+    }
+    return taken;
+}
+
+const waiting_request* fair_queue::oldest() const
+{
+    return m_ages.empty() ? nullptr : m_ages.front();
+}
+
+importance fair_queue::lowest() const
+{
+    const auto it = std::ranges::find_if(m_levels, [](const level_queue& level) { return level.size > 0; });
+    return it == m_levels.end() ? importance::critical : static_cast<importance>(it - m_levels.begin());
+}
+
+std::size_t fair_queue::size_from(importance level) const
+{
+    std::size_t total = 0;
+    for (std::size_t index = static_cast<std::size_t>(level); index < m_levels.size(); ++index)
+        total += m_levels[index].size;
+    return total;
+}
+
+waiting_request fair_queue::take(const location& where)
+{
+    level_queue& level = m_levels[where.level];
+    flow& owner = where.source->second;
+    waiting_request item = std::move(where.position->item);
+    m_ages.erase(where.position->age);
+    m_index.erase(item.request.id);
+    owner.entries.erase(where.position);
+    --level.size;
+    if (owner.entries.empty())
+        level.ready.erase({owner.tag, owner.turn, where.source->first});
+    // The end of a busy period: nobody is ahead of anybody any more.
+    if (level.size == 0) {
+        level.flows.clear();
+        level.virtual_time = 0;
+    }
+    return item;
+}
+
+} // namespace mulberry::detail
--- a/src/plugins/admission/loadreport.h
+++ b/src/plugins/admission/loadreport.h
@@ -23,6 +23,9 @@
     bool operator==(const load_report&) const = default;
 };
 
+/// Part of the requests of an importance that the report says are admitted, in [0, 1].
+float admitted_share_of(const load_report& report, importance level);
+
 /// Joins the report of a guard with the report of a deeper hop of the same request: the stricter threshold and share
 /// and the higher utilisation and delay win, so that the entry learns of the bottleneck of the whole call chain.
 load_report stricter(const load_report& own, const load_report& deeper);
--- /dev/null
+++ b/src/plugins/retry/retrybudget.cpp
@@ -0,0 +1,34 @@
+#include "plugins/retry/retrybudget.h"
+
+#include <algorithm>
+
+namespace mulberry {
+
+retry_budget::retry_budget(retry_budget_settings settings, timer_service& timers)
+    : m_settings(settings), m_timers(timers), m_level(settings.capacity), m_updated(timers.now())
+{
+}
+
+void retry_budget::on_success()
+{
+    m_level = std::min(available() + m_settings.earned_per_success, m_settings.capacity);
+    m_updated = m_timers.now();
+}
+
+bool retry_budget::take()
+{
+    m_level = available();
+    m_updated = m_timers.now();
+    if (m_level < 1)
+        return false;
+    m_level -= 1;
+    return true;
+}
+
+double retry_budget::available() const
+{
+    const double earned = to_seconds(m_timers.now() - m_updated) * m_settings.floor_per_second;
+    return std::min(m_level + earned, m_settings.capacity);
+}
+
+} // namespace mulberry
--- a/src/plugins/throttle/entrythrottle.h
+++ b/src/plugins/throttle/entrythrottle.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace mulberry {
 
@@ -42,11 +43,8 @@
     double admitted_part(std::string_view service, importance level, std::string_view organisation);
 
 private:
-    struct key {
-        std::string service;
-        std::string organisation;
-        auto operator<=>(const key&) const = default;
-    };
+    /// Service and organisation.
+    using key = std::pair<std::string, std::string>;
     struct upstream_view {
         load_report report;
         std::uint32_t answers = 0;
