--- /dev/null
+++ b/src/plugins/shares/demandestimate.cpp
@@ -0,0 +1,27 @@
+#include "plugins/shares/demandestimate.h"
+
+#include <cmath>
+
+namespace mulberry::shares {
+
+namespace {
+
+/// Long enough to smooth the arrivals at a node with one request a second, short against the report interval.
+constexpr double time_constant_s = 5;
+
+} // namespace
+
+void demand_estimate::add(time_point now)
+{
+    m_rate = m_rate * std::exp(-to_seconds(now - m_updated) / time_constant_s) + 1 / time_constant_s;
+    m_updated = now;
+}
+
+micro_tokens demand_estimate::rate(time_point now) const
+{
+    const double current = m_rate * std::exp(-to_seconds(now - m_updated) / time_constant_s);
+    // Below one request in a hundred seconds the load counts as gone, so that idle organisations send no reports.
+    return current < 0.01 ? 0 : std::llround(current * static_cast<double>(one_token));
+}
+
+} // namespace mulberry::shares
--- /dev/null
+++ b/src/plugins/shares/sharetotals.cpp
@@ -0,0 +1,20 @@
+#include "plugins/shares/sharetotals.h"
+
+#include <algorithm>
+
+namespace mulberry::shares {
+
+share read_total(const messages::share_total& message)
+{
+    const auto cut = [](std::int64_t value) { return std::clamp(value, std::int64_t{0}, max_total); };
+    return {cut(message.rate()), cut(message.capacity()), cut(message.level())};
+}
+
+void write_total(const share& total, messages::share_total& message)
+{
+    message.set_rate(total.rate);
+    message.set_capacity(total.capacity);
+    message.set_level(total.level);
+}
+
+} // namespace mulberry::shares
