--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -289,10 +289,10 @@
     std::uint16_t port = 0;
     const int socket = open_socket(port);
     if (socket == not_a_socket)
-        return leaf::new_error(http_error::not_sent);
+        return captured_error<std::uint16_t>(http_error::not_sent);
     if (!start_framework(socket, port)) {
         close(socket);
-        return leaf::new_error(http_error::not_sent);
+        return captured_error<std::uint16_t>(http_error::not_sent);
     }
     m_running = true;
     m_accepting = true;
--- a/src/libs/peer/clientconnection.cpp
+++ b/src/libs/peer/clientconnection.cpp
@@ -178,8 +178,11 @@
 void client_connection::report(call_state& call, peer_error otherwise)
 {
     const auto owner = m_owner.lock();
-    if (owner && !call.cancelled)
-        owner->finished(call.id, outcome_of(call, otherwise));
+    if (!owner || call.cancelled)
+        return;
+    if (call.expected && !call.complete && !call.failure)
+        ++counters().length_mismatches;
+    owner->finished(call.id, outcome_of(call, otherwise));
 }
 
 void client_connection::fail_waiting()
@@ -258,13 +261,10 @@
         return;
     const std::unique_ptr<call_state> call = std::move(place->second);
     m_streams.erase(place);
-    const bool begun = !call->status.empty();
-    if (begun && !call->complete && !call->failure && !call->cancelled)
-        ++counters().truncated_messages;
     peer_error otherwise = peer_error::connection_lost;
     if (!reset_by_peer && code == NGHTTP2_PROTOCOL_ERROR)
         otherwise = peer_error::bad_answer;
-    else if (code == NGHTTP2_REFUSED_STREAM && !begun)
+    else if (code == NGHTTP2_REFUSED_STREAM && call->status.empty())
         otherwise = peer_error::refused;
     report(*call, otherwise);
     pump();
--- a/src/libs/peer/peerserver.cpp
+++ b/src/libs/peer/peerserver.cpp
@@ -39,7 +39,7 @@
             m_acceptor.set_option(tcp::acceptor::reuse_address(true), error) || m_acceptor.bind(endpoint, error) ||
             m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error)) {
             log_error("peer", "Cannot listen on {}:{}: {}.", address, port, error.message());
-            return leaf::new_error(peer_error::listen_failed);
+            return captured_error<std::uint16_t>(peer_error::listen_failed);
         }
         accept();
         return m_acceptor.local_endpoint().port();
--- a/src/libs/peer/peersettings.h
+++ b/src/libs/peer/peersettings.h
@@ -39,8 +39,8 @@
     /// Violations of HTTP/2 or of the message format by the other side.
     std::uint64_t protocol_errors = 0;
     std::uint64_t oversized_messages = 0;
-    /// Messages that ended before their announced length.
-    std::uint64_t truncated_messages = 0;
+    /// Messages that were not as long as announced.
+    std::uint64_t length_mismatches = 0;
     /// Bytes on the connections, TLS overhead not included.
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
--- a/src/libs/peer/serverconnection.cpp
+++ b/src/libs/peer/serverconnection.cpp
@@ -122,7 +122,7 @@
         return;
     if (payload.size() > settings().max_message_bytes) {
         ++counters().oversized_messages;
-        log_error("peer", "An answer of {} bytes to {} is too large to be sent.", payload.size(), call->path);
+        log_error("peer", "An answer of {} bytes to {} is too large to be sent.", payload.size(), m_peer_name);
         submit_response(stream, "500", call->answer);
     }
     else {
@@ -230,7 +230,7 @@
     call->whole = true;
     release(*call);
     if (call->payload.size() != call->expected) {
-        ++counters().truncated_messages;
+        ++counters().length_mismatches;
         refuse(stream, *call, "400");
         return;
     }
@@ -251,7 +251,7 @@
     release(*call);
     const bool broken = !reset_by_peer && code == NGHTTP2_PROTOCOL_ERROR;
     if (broken && !call->whole && call->expected && call->payload.size() < *call->expected)
-        ++counters().truncated_messages;
+        ++counters().length_mismatches;
     if (reset_by_peer)
         ++counters().calls_cancelled;
     if (const auto responder = call->responder.lock())
--- a/src/libs/peer/tlsidentity.cpp
+++ b/src/libs/peer/tlsidentity.cpp
@@ -25,23 +25,28 @@
     return result == OPENSSL_NPN_NEGOTIATED ? SSL_TLSEXT_ERR_OK : SSL_TLSEXT_ERR_ALERT_FATAL;
 }
 
+leaf::result<std::shared_ptr<ssl::context>> failed(tls_error error)
+{
+    return captured_error<std::shared_ptr<ssl::context>>(error);
+}
+
 leaf::result<std::shared_ptr<ssl::context>> make_context(ssl::context::method method, const tls_files& files)
 {
     auto context = std::make_shared<ssl::context>(method);
     boost::system::error_code error;
     context->set_verify_mode(ssl::verify_peer | ssl::verify_fail_if_no_peer_cert);
     if (context->load_verify_file(files.ca, error))
-        return leaf::new_error(tls_error::bad_ca);
+        return failed(tls_error::bad_ca);
     if (context->use_certificate_chain_file(files.certificate, error))
-        return leaf::new_error(tls_error::bad_certificate);
+        return failed(tls_error::bad_certificate);
     if (context->use_private_key_file(files.key, ssl::context::pem, error)) {
         const bool mismatch = error.value() != 0 &&
                               ERR_GET_REASON(static_cast<unsigned long>(error.value())) == X509_R_KEY_VALUES_MISMATCH;
-        return leaf::new_error(mismatch ? tls_error::key_mismatch : tls_error::bad_key);
+        return failed(mismatch ? tls_error::key_mismatch : tls_error::bad_key);
     }
     SSL_CTX* handle = context->native_handle();
     if (SSL_CTX_check_private_key(handle) != 1)
-        return leaf::new_error(tls_error::key_mismatch);
+        return failed(tls_error::key_mismatch);
     SSL_CTX_set_min_proto_version(handle, TLS1_3_VERSION);
     SSL_CTX_set_session_cache_mode(handle, SSL_SESS_CACHE_OFF);
     // Connections are kept, so resumption is not worth the bytes of its tickets.
@@ -78,7 +83,7 @@
     BOOST_LEAF_ASSIGN(identity.m_client, make_context(ssl::context::tls_client, files));
     auto name = detail::common_name(SSL_CTX_get0_certificate(identity.m_server->native_handle()));
     if (!name)
-        return leaf::new_error(tls_error::no_common_name);
+        return captured_error<tls_identity>(tls_error::no_common_name);
     identity.m_node_name = std::move(*name);
     return identity;
 }
