Scale the longest waits with the service time, steady the learned limit

Cause: at 0.8x the guard of 30 slots shed for queue delay, because 20 ms is short against 80 ms of service time; the limit followed the noise of windows of 10 samples; one refusal counted as a trend for a small organisation. Change: waits are at least 4 and 1 service times; windows hold at least 30 samples and one limit; tolerance 2; the shed share carries a prior weight of 3 admitted requests.

--- a/src/plugins/admission/admissionqueue.cpp
+++ b/src/plugins/admission/admissionqueue.cpp
@@ -56,7 +56,8 @@
     duration expected_wait(importance level) const;
     std::size_t queue_limit() const;
     bool standing() const;
-    duration longest_wait() const { return standing() ? m_settings.standing_delay : m_settings.burst_delay; }
+    duration burst_delay() const;
+    duration longest_wait() const;
     void arm_expiry();
     void expire();
     void note_use();
@@ -230,7 +231,22 @@
 
 bool admission_queue::implementation::standing() const
 {
-    return m_queue.size() > 0 && m_timers.now() - m_waiting_since >= m_settings.burst_delay;
+    return m_queue.size() > 0 && m_timers.now() - m_waiting_since >= burst_delay();
+}
+
+duration admission_queue::implementation::burst_delay() const
+{
+    const double services_s = to_seconds(m_limiter.expected_service_time(m_timers.now())) * m_settings.burst_services;
+    return std::max(m_settings.burst_delay, from_seconds(services_s));
+}
+
+duration admission_queue::implementation::longest_wait() const
+{
+    if (!standing())
+        return burst_delay();
+    const double services_s =
+        to_seconds(m_limiter.expected_service_time(m_timers.now())) * m_settings.standing_services;
+    return std::max(m_settings.standing_delay, from_seconds(services_s));
 }
 
 void admission_queue::implementation::arm_expiry()
@@ -240,7 +256,7 @@
         return;
     time_point due = oldest->since + longest_wait();
     if (!standing())
-        due = std::min(due, m_waiting_since + m_settings.burst_delay);
+        due = std::min(due, m_waiting_since + burst_delay());
     m_expiry_timer = m_timers.schedule(due - m_timers.now(), [this] {
         m_expiry_timer = 0;
         expire();
--- a/src/plugins/admission/admissionqueue.h
+++ b/src/plugins/admission/admissionqueue.h
@@ -19,10 +19,13 @@
     std::uint32_t slots = 100;
     /// Waiting requests in total; 0 means as many as there are slots.
     std::uint32_t queue_limit = 0;
-    /// Longest wait while the queue empties now and then.
+    /// Longest wait while the queue empties now and then: the larger of a time and a number of service times, because
+    /// random arrivals make queues that last for several service times below capacity.
     duration burst_delay{100'000};
-    /// Longest wait once the queue has not been empty for burst_delay.
+    double burst_services = 4;
+    /// Longest wait once the queue has not been empty for as long as the longest wait above.
     duration standing_delay{20'000};
+    double standing_services = 1;
     queue_order order = queue_order::oldest_first;
     /// Off: the limit is always the number of slots.
     bool learn_limit = true;
--- a/src/plugins/admission/concurrencylimiter.cpp
+++ b/src/plugins/admission/concurrencylimiter.cpp
@@ -10,14 +10,17 @@
 
 constexpr duration window{100'000};
 constexpr duration longest_window{1'000'000};
-constexpr std::size_t least_samples = 10;
+/// The mean of fewer samples varies too much to be compared.
+constexpr std::size_t least_samples = 30;
 constexpr std::size_t most_samples = 1'024;
 /// Service times vary with the mix of requests; only a rise beyond this factor counts as queueing in the upstream.
-constexpr double tolerance = 1.5;
+constexpr double tolerance = 2;
 constexpr double growth = 1.3;
 constexpr double steepest_fall = 0.7;
-/// The baseline follows a lasting change of the service time by 1% a second.
-constexpr double baseline_drift = 0.001;
+/// Part of the difference by which one window moves the baseline down, and up. A lasting rise is followed by 1% a
+/// second.
+constexpr double baseline_fall = 0.2;
+constexpr double baseline_rise = 0.001;
 /// Share of requests in a window that may time out for reasons other than load.
 constexpr double tolerated_timeouts = 0.1;
 /// The limit stays above this part of the slots; from a lower one the growth back took longer than the recovery target.
@@ -51,7 +54,7 @@
         if (m_samples_us.size() < most_samples)
             m_samples_us.push_back(static_cast<double>(service_time.count()));
     }
-    const bool enough = m_finished >= std::max(least_samples, static_cast<std::size_t>(limit() / 2));
+    const bool enough = m_finished >= std::max(least_samples, static_cast<std::size_t>(limit()));
     if (now - m_window_start >= (enough ? window : longest_window))
         close_window(now);
 }
@@ -80,9 +83,9 @@
 
 void concurrency_limiter::adapt(double mean_us)
 {
-    const bool enough = m_samples_us.size() >= least_samples;
-    const bool lower = m_baseline_us == 0 || (enough && mean_us < m_baseline_us);
-    m_baseline_us += (mean_us - m_baseline_us) * (lower ? 1 : baseline_drift);
+    if (m_baseline_us == 0)
+        m_baseline_us = mean_us;
+    m_baseline_us += (mean_us - m_baseline_us) * (mean_us < m_baseline_us ? baseline_fall : baseline_rise);
     if (!m_learn)
         return;
     const double gradient = tolerance * m_baseline_us / std::max(mean_us, 1.0);
--- a/src/plugins/admission/shedstatistics.cpp
+++ b/src/plugins/admission/shedstatistics.cpp
@@ -8,8 +8,8 @@
 
 /// Shorter than the adjustment interval of the entry throttle, which must not react to the same shedding twice.
 constexpr double time_constant_s = 0.1;
-/// Weight below which a level has no recent decisions.
-constexpr double least_weight = 0.5;
+/// Weight of the assumption that nothing is shed, so that one refusal among few requests is not taken for a trend.
+constexpr double prior_weight = 3;
 /// Shedding below this part is noise of the queue and not reported.
 constexpr double reported_shedding = 0.02;
 
@@ -66,9 +66,7 @@
     const double age = decay(it->second.updated, now);
     for (std::size_t index = all_importances.size(); index-- > 0;) {
         const decision_count& each = it->second.levels[index];
-        if (each.decided * age < least_weight)
-            continue;
-        const double share = each.admitted / each.decided;
+        const double share = (each.admitted * age + prior_weight) / (each.decided * age + prior_weight);
         if (share > 1 - reported_shedding)
             continue;
         result.threshold = static_cast<importance>(index);
