--- a/src/plugins/keys/keyring.h
+++ b/src/plugins/keys/keyring.h
@@ -54,7 +54,8 @@
     key_ring(const key_ring&) = delete;
     key_ring& operator=(const key_ring&) = delete;
 
-    /// Puts a new set of keys in force at once. On an error the old set stays.
+    /// Puts a new set of keys in force at once. An entry with an error is left out and the first error is returned: to
+    /// keep the old set would leave withdrawn keys in force.
     leaf::result<void> replace(std::span<const key_entry> entries);
 
     /// The organisation of a key, or empty if the key is unknown or withdrawn.
--- /dev/null
+++ b/src/plugins/membership/gossipqueue.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "plugins/membership/memberchange.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace mulberry::detail {
+
+/// Changes that are still piggybacked on messages. A newer change of a member replaces the older one.
+class gossip_queue {
+public:
+    void add(const member_change& change);
+    /// Appends changes that were sent least often, up to the number of bytes; drops those sent often enough.
+    void take(membership_messages::membership_message& message, std::size_t max_bytes, unsigned max_transmissions);
+    void clear();
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct entry {
+        membership_messages::member_change encoded;
+        std::size_t bytes = 0;
+        unsigned transmissions = 0;
+        std::uint64_t added = 0;
+    };
+    /// Fewest transmissions first, then the newest.
+    struct position {
+        unsigned transmissions = 0;
+        std::uint64_t reverse_added = 0;
+        std::string name;
+
+        auto operator<=>(const position&) const = default;
+    };
+
+    static position position_of(const std::string& name, const entry& queued);
+
+    std::map<std::string, entry> m_entries;
+    std::set<position> m_order;
+    std::uint64_t m_added = 0;
+};
+
+} // namespace mulberry::detail
--- /dev/null
+++ b/src/plugins/membership/memberchange.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "plugins/membership/member.h"
+#include "plugins/membership/messages.pb.h"
+
+#include <compare>
+#include <optional>
+
+namespace mulberry::detail {
+
+/// Orders the records of one name. The number grows with each change or refutation within an incarnation.
+struct record_version {
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const record_version&) const = default;
+};
+
+enum class member_status : std::uint8_t { alive = 1, suspected = 2, dead = 3 };
+
+/// A claim about a member. Only an alive claim has a full record; otherwise just the name and incarnation are set.
+struct member_change {
+    member record;
+    std::uint64_t version_number = 0;
+    member_status status = member_status::alive;
+
+    record_version version() const { return {record.id.incarnation, version_number}; }
+};
+
+/// Bounds on what other nodes may send.
+constexpr std::size_t max_text_bytes = 255;
+constexpr std::uint64_t max_version_number = std::uint64_t{1} << 62;
+
+void encode(const member_change& change, membership_messages::member_change& out);
+/// Empty if a field is out of its bounds.
+std::optional<member_change> decode(const membership_messages::member_change& in);
+
+} // namespace mulberry::detail
