--- a/src/plugins/account/decisionlog.h
+++ b/src/plugins/account/decisionlog.h
@@ -15,10 +15,10 @@
 
 struct decision_log_settings {
     std::string node;
-    std::size_t max_bytes = 16 * 1024 * 1024;
+    std::size_t max_bytes = 16'777'216;
     /// Refusals at the entry are copied to a peer in batches of at most this age and size.
     duration copy_period{std::chrono::seconds(1)};
-    std::size_t max_copy_bytes = 16 * 1024;
+    std::size_t max_copy_bytes = 16'384;
     /// How long explain waits for other nodes.
     duration explain_timeout{std::chrono::seconds(3)};
 };
--- a/src/plugins/configuration/configrelay.h
+++ b/src/plugins/configuration/configrelay.h
@@ -24,7 +24,7 @@
     /// Time for an answer before the other parent is asked.
     duration pull_timeout{std::chrono::milliseconds(300)};
     /// Payload of one reply; a single larger document goes alone.
-    std::size_t max_reply_bytes = 256 * 1024;
+    std::size_t max_reply_bytes = 262'144;
 };
 
 /// Which part of the fleet has not confirmed a revision. Nodes are named for the own domain of a watcher.
--- a/src/plugins/membership/gossipqueue.cpp
+++ b/src/plugins/membership/gossipqueue.cpp
@@ -40,10 +40,11 @@
     for (const std::string& name : taken) {
         const auto it = m_entries.find(name);
         m_order.erase(position_of(name, it->second));
-        if (++it->second.transmissions >= max_transmissions)
+        if (++it->second.transmissions >= max_transmissions) {
             m_entries.erase(it);
-        else
-            m_order.insert(position_of(name, it->second));
+            continue;
+        }
+        m_order.insert(position_of(name, it->second));
     }
 }
 
--- a/src/plugins/membership/membertable.cpp
+++ b/src/plugins/membership/membertable.cpp
@@ -41,9 +41,9 @@
     const auto it = m_states.find(name);
     if (it == m_states.end())
         return nullptr;
-    const auto position = std::lower_bound(
-        m_members.begin(), m_members.end(), std::tuple(std::string_view(it->second.service), name),
-        [](const member& record, const auto& wanted) { return order_of(record) < wanted; });
+    const auto position =
+        std::lower_bound(m_members.begin(), m_members.end(), std::tuple(std::string_view(it->second.service), name),
+                         [](const member& record, const auto& wanted) { return order_of(record) < wanted; });
     return &*position;
 }
 
@@ -87,7 +87,7 @@
         m_members.insert(position, record);
     }
     m_suspected -= known.suspected_until ? 1 : 0;
-    known = {record.service, version_number, std::nullopt};
+    known = {record.service, version_number, std::nullopt, 0};
     toggle_digest(record, version_number);
 }
 
@@ -107,6 +107,15 @@
     it->second.suspected_until = until;
 }
 
+void member_table::extend_suspicion(std::string_view name, time_point until)
+{
+    const auto it = m_states.find(name);
+    if (it == m_states.end())
+        return;
+    it->second.suspected_until = until;
+    ++it->second.final_probes;
+}
+
 void member_table::postpone_suspicions(duration by)
 {
     for (auto& [name, known] : m_states) {
--- a/src/plugins/membership/membertable.h
+++ b/src/plugins/membership/membertable.h
@@ -32,6 +32,8 @@
         std::uint64_t version_number = 0;
         /// When a suspected member is declared dead.
         std::optional<time_point> suspected_until;
+        /// Probes sent since the suspicion first ended.
+        unsigned final_probes = 0;
     };
     struct tombstone {
         record_version version;
@@ -50,6 +52,8 @@
     void put(const member& record, std::uint64_t version_number);
     void set_epoch(std::string_view name, std::uint64_t epoch);
     void suspect(std::string_view name, time_point until);
+    /// Gives a suspected member more time and counts a final probe.
+    void extend_suspicion(std::string_view name, time_point until);
     /// Moves the end of every suspicion, after the own process was paused.
     void postpone_suspicions(duration by);
     /// Names whose suspicion has ended by now.
--- a/tests/fakes/fakecontrolnetwork.cpp
+++ b/tests/fakes/fakecontrolnetwork.cpp
@@ -18,6 +18,13 @@
     std::string m_name;
 };
 
+fake_control_network::fake_control_network(timer_service& timers, random_source& random)
+    : m_timers(timers), m_random(random)
+{
+}
+
+fake_control_network::~fake_control_network() = default;
+
 control_link& fake_control_network::link(const std::string& node)
 {
     auto& slot = m_links[node];
--- a/tests/fakes/fakecontrolnetwork.h
+++ b/tests/fakes/fakecontrolnetwork.h
@@ -22,7 +22,10 @@
 /// Control links between named nodes in one process, with latency, loss, duplication, reordering and cuts.
 class fake_control_network {
 public:
-    fake_control_network(timer_service& timers, random_source& random) : m_timers(timers), m_random(random) {}
+    fake_control_network(timer_service& timers, random_source& random);
+    fake_control_network(const fake_control_network&) = delete;
+    fake_control_network& operator=(const fake_control_network&) = delete;
+    ~fake_control_network();
 
     /// The link that a node sends with. It stays valid as long as the network.
     control_link& link(const std::string& node);
