--- a/cmake/mulberry.cmake
+++ b/cmake/mulberry.cmake
@@ -20,7 +20,7 @@
 function(mulberry_messages name)
   add_library(${name} STATIC ${ARGN})
   target_compile_options(${name} PRIVATE -w)
-  target_include_directories(${name} SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src)
+  target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
   target_link_libraries(${name} PUBLIC protobuf::libprotobuf-lite)
 endfunction()
 
--- a/src/libs/base/refusal.cpp
+++ b/src/libs/base/refusal.cpp
@@ -33,6 +33,7 @@
     reason_row{refusal_reason::upstream_unreachable, "upstream_unreachable", 503},
     reason_row{refusal_reason::upstream_failed, "upstream_failed", 502},
     reason_row{refusal_reason::upstream_shed, "upstream_shed", 503},
+    reason_row{refusal_reason::starting, "starting", 503},
     reason_row{refusal_reason::leaving, "leaving", 503},
     reason_row{refusal_reason::draining, "draining", 503},
     reason_row{refusal_reason::duplicate_attempt, "duplicate_attempt", 409},
--- a/src/libs/base/refusal.h
+++ b/src/libs/base/refusal.h
@@ -33,6 +33,7 @@
     upstream_unreachable,
     upstream_failed,
     upstream_shed,
+    starting,
     leaving,
     draining,
     duplicate_attempt,
--- a/src/libs/documents/daemonsettings.cpp
+++ b/src/libs/documents/daemonsettings.cpp
@@ -48,10 +48,12 @@
 std::string set_seeds(daemon_settings& target, const detail::field_value& value)
 {
     for (const std::string& text : std::get<std::vector<std::string>>(value)) {
-        const auto endpoint = parse_endpoint(text);
-        if (!endpoint || endpoint->port == 0)
-            return endpoint_fault(text);
-        target.seeds.push_back(*endpoint);
+        const std::size_t at = std::min(text.find('@'), text.size());
+        const std::string name = text.substr(0, at);
+        const auto endpoint = parse_endpoint(std::string_view(text).substr(std::min(at + 1, text.size())));
+        if (!detail::check_name(name).empty() || !endpoint || endpoint->port == 0)
+            return fmt::format("must have the form node@address:port, not \"{}\"", text);
+        target.seeds.push_back({name, *endpoint});
     }
     return {};
 }
@@ -104,6 +106,8 @@
                                                  "Name of the node, unique in the fleet.")));
     fields.push_back(required(detail::text_field("failure_domain", "name", "", &settings::failure_domain,
                                                  detail::check_name, "Failure domain, unique across regions.")));
+    fields.push_back(detail::list_field("failure_domains", "name", &settings::failure_domains, detail::check_name,
+                                        "Every failure domain of the deployment; the own one if the list is empty."));
     fields.push_back(
         required(detail::text_field("region", "name", "", &settings::region, detail::check_name, "Region.")));
     fields.push_back(required(detail::text_field("service", "name", "", &settings::service, detail::check_service_name,
@@ -165,8 +169,8 @@
                                 "authorities without it."));
     fields.push_back(detail::duration_field("store_timeout", "2s", &settings::store_timeout, 10ms, 1min,
                                             "Longest time of one call to the store."));
-    fields.push_back({{"seeds", detail::value_kind::text_list, "list, each: address:port", false, "",
-                       "Peer addresses of other daemons to join at the start."},
+    fields.push_back({{"seeds", detail::value_kind::text_list, "list, each: node@address:port", false, "",
+                       "Names and peer addresses of other daemons to join at the start."},
                       set_seeds});
     fields.push_back(detail::list_field("document_files", "file", &settings::document_files, detail::check_any_text,
                                         "Documents loaded at the start. Only with the store `memory`."));
@@ -222,6 +226,7 @@
     void check()
     {
         check_peers();
+        check_failure_domains();
         if (is_on(m_settings.operators_listen))
             demand("operators_listen", "operator_credential_file", m_settings.operator_credential_file);
         if (!m_settings.server_certificate_file.empty())
@@ -257,6 +262,15 @@
         m_settings.peers_advertised = m_settings.peers_listen;
     }
 
+    void check_failure_domains()
+    {
+        std::vector<std::string>& domains = m_settings.failure_domains;
+        if (domains.empty())
+            domains.push_back(m_settings.failure_domain);
+        if (std::ranges::find(domains, m_settings.failure_domain) == domains.end())
+            report("failure_domains", "must contain failure_domain");
+    }
+
     void demand(std::string_view key, std::string_view needed_key, const std::string& needed)
     {
         if (needed.empty() && !m_found.contains(needed_key))
--- a/src/libs/documents/daemonsettings.h
+++ b/src/libs/documents/daemonsettings.h
@@ -28,6 +28,14 @@
 /// "address:port", with brackets around an IPv6 address.
 std::string to_string(const network_endpoint& endpoint);
 
+/// Another daemon by name, because its certificate is checked for the name, and where its peer port is.
+struct daemon_seed {
+    std::string node_name;
+    network_endpoint endpoint;
+
+    auto operator<=>(const daemon_seed&) const = default;
+};
+
 /// What a second termination signal does while the daemon drains.
 enum class second_signal_action : std::uint8_t {
     ignore, // the drain goes on
@@ -39,6 +47,8 @@
     /// Unique in the fleet.
     std::string node_name;
     std::string failure_domain;
+    /// Every failure domain of the deployment, the own one included.
+    std::vector<std::string> failure_domains;
     std::string region;
     /// The service of the upstream beside the daemon.
     std::string service;
@@ -70,7 +80,7 @@
     std::string store_ca_file;
     duration store_timeout{0};
     /// Other daemons to join at the start.
-    std::vector<network_endpoint> seeds;
+    std::vector<daemon_seed> seeds;
     /// Documents loaded at the start when the store is in memory.
     std::vector<std::string> document_files;
 
--- /dev/null
+++ b/src/plugins/calls/callcodec.cpp
@@ -0,0 +1,224 @@
+#include "plugins/calls/callcodec.h"
+
+#include "libs/base/asyncerror.h"
+#include "plugins/calls/messages.pb.h"
+
+#include <algorithm>
+#include <climits>
+
+namespace mulberry {
+
+namespace {
+
+constexpr std::int64_t longest_interval_us = 86'400'000'000; // one day; larger values are not sent by any node
+constexpr std::uint32_t most_retries = 100;
+constexpr std::uint32_t deepest_call = 100;
+constexpr int lowest_status = 100;
+constexpr int highest_status = 599;
+
+template <typename Fields>
+void write_headers(const header_list& headers, Fields* fields)
+{
+    for (const auto& [name, value] : headers) {
+        auto* field = fields->Add();
+        field->set_name(name);
+        field->set_value(value);
+    }
+}
+
+template <typename Fields>
+header_list read_headers(Fields* fields)
+{
+    header_list headers;
+    headers.reserve(static_cast<std::size_t>(fields->size()));
+    for (auto& field : *fields)
+        headers.emplace_back(std::move(*field.mutable_name()), std::move(*field.mutable_value()));
+    return headers;
+}
+
+bool is_interval(std::int64_t microseconds)
+{
+    return microseconds >= 0 && microseconds <= longest_interval_us;
+}
+
+bool is_share(float value)
+{
+    return value >= 0 && value <= 1;
+}
+
+bool has_line_break(std::string_view text)
+{
+    return text.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos;
+}
+
+bool are_safe(const header_list& headers)
+{
+    return std::ranges::none_of(headers, [](const auto& header) {
+        return header.first.empty() || has_line_break(header.first) || has_line_break(header.second);
+    });
+}
+
+bool is_valid(const calls::proto::call_request& message)
+{
+    return !message.sender_name().empty() && message.sequence() > 0 && message.level() < all_importances.size() &&
+           is_interval(message.remaining_us()) && message.retries() <= most_retries && message.depth() > 0 &&
+           message.depth() <= deepest_call && message.path().starts_with('/') && !has_line_break(message.path()) &&
+           !message.method().empty() && !has_line_break(message.method());
+}
+
+bool is_valid(const calls::proto::call_answer& message)
+{
+    const bool has_reason = message.reason() > 0;
+    const bool known_result = message.result() <= static_cast<std::uint32_t>(outcome::unknown);
+    const bool known_reason = message.reason() <= static_cast<std::uint32_t>(refusal_reason::count);
+    const bool has_status = message.status() >= lowest_status && message.status() <= highest_status;
+    const auto& load = message.load();
+    return known_result && known_reason && (has_reason || has_status) && is_interval(message.retry_after_us()) &&
+           is_interval(message.queue_wait_us()) && is_interval(message.service_time_us()) &&
+           is_interval(load.queue_delay_us()) && load.threshold() < all_importances.size() &&
+           is_share(load.admitted_share()) && load.utilisation() >= 0 && message.unused_retries() <= most_retries;
+}
+
+void write_load(const load_report& load, calls::proto::load_report* message)
+{
+    message->set_utilisation(load.utilisation);
+    message->set_queue_delay_us(load.queue_delay.count());
+    message->set_threshold(static_cast<std::uint32_t>(load.threshold));
+    message->set_admitted_share(load.admitted_share);
+    message->set_concurrency_limit(load.concurrency_limit);
+}
+
+load_report read_load(const calls::proto::load_report& message)
+{
+    load_report load;
+    load.utilisation = message.utilisation();
+    load.queue_delay = duration{message.queue_delay_us()};
+    load.threshold = static_cast<importance>(message.threshold());
+    load.admitted_share = message.admitted_share();
+    load.concurrency_limit = message.concurrency_limit();
+    return load;
+}
+
+bool parse(google::protobuf::MessageLite& message, std::string_view bytes)
+{
+    return bytes.size() <= INT_MAX && message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+} // namespace
+
+std::string_view to_string(call_error error)
+{
+    switch (error) {
+    case call_error::not_sent:
+        return "not_sent";
+    case call_error::connection_lost:
+        return "connection_lost";
+    case call_error::malformed:
+        return "malformed";
+    }
+    return "invalid";
+}
+
+std::string encode(const call_request& request)
+{
+    calls::proto::call_request message;
+    message.set_sender_name(request.attempt.sender.name);
+    message.set_sender_incarnation(request.attempt.sender.incarnation);
+    message.set_sequence(request.attempt.sequence);
+    message.set_request_id(request.request_id);
+    message.set_organisation(request.organisation);
+    message.set_calling_service(request.calling_service);
+    message.set_service(request.service);
+    message.set_route(request.route);
+    message.set_level(static_cast<std::uint32_t>(request.level));
+    message.set_remaining_us(request.remaining.count());
+    message.set_retries(request.retries);
+    message.set_idempotent(request.idempotent);
+    message.set_idempotency_key(request.idempotency_key);
+    message.set_revision(request.revision);
+    message.set_depth(request.depth);
+    message.set_method(request.method);
+    message.set_path(request.path);
+    write_headers(request.headers, message.mutable_headers());
+    message.set_body(request.body);
+    return message.SerializeAsString();
+}
+
+std::string encode(const call_answer& answer)
+{
+    calls::proto::call_answer message;
+    message.set_receiver_name(answer.receiver);
+    message.set_sequence(answer.sequence);
+    message.set_result(static_cast<std::uint32_t>(answer.result));
+    if (answer.reason)
+        message.set_reason(static_cast<std::uint32_t>(*answer.reason) + 1);
+    message.set_retry_after_us(answer.retry_after.count());
+    message.set_status(answer.status);
+    write_headers(answer.headers, message.mutable_headers());
+    message.set_body(answer.body);
+    message.set_unused_retries(answer.unused_retries);
+    message.set_retries_exhausted(answer.retries_exhausted);
+    message.set_failed_below(answer.failed_below);
+    message.set_replayed(answer.replayed);
+    write_load(answer.load, message.mutable_load());
+    message.set_queue_wait_us(answer.queue_wait.count());
+    message.set_service_time_us(answer.service_time.count());
+    return message.SerializeAsString();
+}
+
+leaf::result<call_request> decode_call_request(std::string_view bytes)
+{
+    calls::proto::call_request message;
+    if (!parse(message, bytes) || !is_valid(message))
+        return captured_error<call_request>(call_error::malformed);
+    call_request request;
+    request.attempt = {{message.sender_name(), message.sender_incarnation()}, message.sequence()};
+    request.request_id = message.request_id();
+    request.organisation = message.organisation();
+    request.calling_service = message.calling_service();
+    request.service = message.service();
+    request.route = message.route();
+    request.level = static_cast<importance>(message.level());
+    request.remaining = duration{message.remaining_us()};
+    request.retries = message.retries();
+    request.idempotent = message.idempotent();
+    request.idempotency_key = message.idempotency_key();
+    request.revision = message.revision();
+    request.depth = message.depth();
+    request.method = message.method();
+    request.path = message.path();
+    request.headers = read_headers(message.mutable_headers());
+    request.body = std::move(*message.mutable_body());
+    if (!are_safe(request.headers))
+        return captured_error<call_request>(call_error::malformed);
+    return request;
+}
+
+leaf::result<call_answer> decode_call_answer(std::string_view bytes)
+{
+    calls::proto::call_answer message;
+    if (!parse(message, bytes) || !is_valid(message))
+        return captured_error<call_answer>(call_error::malformed);
+    call_answer answer;
+    answer.receiver = message.receiver_name();
+    answer.sequence = message.sequence();
+    answer.result = static_cast<outcome>(message.result());
+    if (message.reason() > 0)
+        answer.reason = static_cast<refusal_reason>(message.reason() - 1);
+    answer.retry_after = duration{message.retry_after_us()};
+    answer.status = message.status();
+    answer.headers = read_headers(message.mutable_headers());
+    answer.body = std::move(*message.mutable_body());
+    answer.unused_retries = message.unused_retries();
+    answer.retries_exhausted = message.retries_exhausted();
+    answer.failed_below = message.failed_below();
+    answer.replayed = message.replayed();
+    answer.load = read_load(message.load());
+    answer.queue_wait = duration{message.queue_wait_us()};
+    answer.service_time = duration{message.service_time_us()};
+    if (!are_safe(answer.headers))
+        return captured_error<call_answer>(call_error::malformed);
+    return answer;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/plugins/calls/callcodec.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "plugins/calls/callanswer.h"
+#include "plugins/calls/callrequest.h"
+
+#include <string>
+#include <string_view>
+
+#include <boost/leaf.hpp>
+
+namespace mulberry {
+
+namespace leaf = boost::leaf;
+
+/// Errors of calls between nodes.
+enum class call_error : std::uint8_t {
+    not_sent,        // the receiver's handler cannot have seen the call
+    connection_lost, // the call may have been received
+    malformed,       // the message could not be understood
+};
+
+std::string_view to_string(call_error error);
+
+std::string encode(const call_request& request);
+std::string encode(const call_answer& answer);
+
+/// Checks every field of an untrusted message. Fails with call_error::malformed.
+leaf::result<call_request> decode_call_request(std::string_view bytes);
+leaf::result<call_answer> decode_call_answer(std::string_view bytes);
+
+} // namespace mulberry
--- /dev/null
+++ b/src/plugins/calls/calltransport.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "plugins/calls/callcodec.h"
+
+#include <functional>
+
+namespace mulberry {
+
+using call_id = std::uint64_t;
+using call_callback = std::function<void(leaf::result<call_answer>)>;
+
+/// Carries attempts to the guards of other nodes, and to the guard of this node.
+class call_transport {
+public:
+    call_transport() = default;
+    call_transport(const call_transport&) = delete;
+    call_transport& operator=(const call_transport&) = delete;
+    virtual ~call_transport() = default;
+
+    /// Sends an attempt and calls back once, later, with the answer or a call_error.
+    virtual call_id send(std::string_view node_name, const call_request& request, call_callback done) = 0;
+
+    /// Tells the guard that the answer is no longer wanted; the callback is never called.
+    virtual void cancel(call_id id) = 0;
+};
+
+} // namespace mulberry
--- /dev/null
+++ b/src/plugins/guard/guardservice.cpp
@@ -0,0 +1,362 @@
+#include "plugins/guard/guardservice.h"
+
+#include "libs/base/asyncerror.h"
+#include "libs/base/invariant.h"
+#include "plugins/calls/headerpolicy.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace mulberry {
+
+namespace {
+
+finish_result finish_result_of(http_error error)
+{
+    return error == http_error::timed_out ? finish_result::timed_out : finish_result::failed;
+}
+
+refusal refusal_of(http_error error)
+{
+    switch (error) {
+    case http_error::not_sent:
+        return not_run(refusal_reason::upstream_unreachable);
+    case http_error::timed_out:
+        return {refusal_reason::deadline_expired, outcome::unknown, duration{0}};
+    case http_error::truncated:
+    case http_error::too_large:
+        return {refusal_reason::upstream_failed, outcome::unknown, duration{0}};
+    case http_error::connection_lost:
+        break;
+    }
+    return {refusal_reason::connection_lost, outcome::unknown, duration{0}};
+}
+
+bool is_server_error(int status)
+{
+    constexpr int first_server_error = 500;
+    return status >= first_server_error;
+}
+
+} // namespace
+
+guard_service::guard_service(guard_settings settings, timer_service& timers, random_source& secure_random,
+                             http_client& upstream, request_observer& observer)
+    : m_settings(std::move(settings)), m_timers(timers), m_random(secure_random), m_upstream(upstream),
+      m_observer(observer), m_filter(timers), m_once(m_settings.once, m_settings.self, timers),
+      m_admission(m_settings.admission, timers, *this)
+{
+}
+
+std::optional<refusal> guard_service::check(std::string_view from, const call_request& request)
+{
+    if (request.attempt.sender.name != from || request.service != m_settings.service)
+        return not_run(refusal_reason::malformed_request);
+    // The first copy of the attempt may have run, so nothing is claimed about the duplicate.
+    if (!m_filter.accept(request.attempt))
+        return refusal{refusal_reason::duplicate_attempt, outcome::unknown, duration{0}};
+    if (request.remaining <= duration{0})
+        return not_run(refusal_reason::deadline_expired);
+    if (m_leaving_since && m_timers.now() - *m_leaving_since > m_settings.leaving_grace)
+        return not_run(refusal_reason::leaving);
+    return std::nullopt;
+}
+
+void guard_service::handle(std::string_view from, call_request request, answer_callback done)
+{
+    const attempt_id id = request.attempt;
+    const auto refused = check(from, request);
+    const time_point now = m_timers.now();
+    const time_point deadline = now + request.remaining;
+    if (refused) {
+        call rejected{std::move(request), std::move(done), now, now, {}, nullptr, {}, 0, false, false};
+        return refuse(rejected, *refused);
+    }
+    const importance level = request.level;
+    std::string organisation = request.organisation;
+    call& entry = m_calls[id];
+    entry.request = std::move(request);
+    entry.done = std::move(done);
+    entry.received = now;
+    if (!begin_once(entry)) {
+        m_calls.erase(id);
+        return;
+    }
+    m_admission.offer({id, level, std::move(organisation), deadline});
+}
+
+bool guard_service::begin_once(call& entry)
+{
+    const call_request& request = entry.request;
+    if (request.idempotent || request.idempotency_key.empty())
+        return true;
+    const auto key = parse_idempotency_key(request.idempotency_key);
+    if (!key) {
+        refuse(entry, not_run(refusal_reason::idempotency_key_invalid));
+        return false;
+    }
+    const once_decision decision =
+        m_once.begin(*key, {request.organisation, request.method, request.path, request.body});
+    if (const auto* refused = std::get_if<refusal>(&decision)) {
+        refuse(entry, *refused);
+        return false;
+    }
+    if (const auto* replayed = std::get_if<once_replayed>(&decision)) {
+        call_answer answer;
+        answer.result = outcome::ran;
+        answer.status = replayed->answer.status;
+        answer.headers = replayed->answer.headers;
+        answer.body = replayed->answer.body;
+        answer.replayed = true;
+        answer.unused_retries = request.retries;
+        finish(entry, std::move(answer));
+        return false;
+    }
+    entry.record = std::get<once_started>(decision).record;
+    return true;
+}
+
+void guard_service::on_admitted(const attempt_id& id)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end() || it->second.running) {
+        invariant_monitor::instance().check(false, invariant::not_run_is_true,
+                                            "an attempt that was answered or runs was admitted");
+        m_admission.finished(id, duration{0}, finish_result::cancelled);
+        return;
+    }
+    const bool in_time = !m_leaving_since || it->second.received - *m_leaving_since <= m_settings.leaving_grace;
+    invariant_monitor::instance().check(in_time, invariant::leaving_gets_no_work,
+                                        "a call that came after the leaving grace was admitted");
+    hand_over(it->second);
+}
+
+void guard_service::on_refused(const attempt_id& id, const refusal& why)
+{
+    auto node = m_calls.extract(id);
+    if (node.empty())
+        return;
+    call& entry = node.mapped();
+    invariant_monitor::instance().check(!entry.running, invariant::not_run_is_true,
+                                        "a running attempt was refused as not run");
+    if (entry.record)
+        m_once.abandon(*entry.record);
+    refuse(entry, why);
+}
+
+void guard_service::hand_over(call& entry)
+{
+    const call_request& request = entry.request;
+    entry.running = true;
+    entry.admitted = m_timers.now();
+    entry.token = fmt::format("{:016x}{:016x}", m_random.next(), m_random.next());
+    entry.context = std::make_shared<call_context>();
+    entry.context->request_id = request.request_id;
+    entry.context->organisation = request.organisation;
+    entry.context->service = request.service;
+    entry.context->level = request.level;
+    entry.context->deadline = entry.received + request.remaining;
+    entry.context->depth = request.depth;
+    entry.context->allowance = attempt_allowance(request.retries);
+    m_contexts[entry.token] = entry.context;
+    entry.exchange =
+        m_upstream.send(make_upstream_request(entry), [this, id = request.attempt](leaf::result<http_answer> result) {
+            on_upstream_answer(id, std::move(result));
+        });
+}
+
+http_request guard_service::make_upstream_request(const call& entry) const
+{
+    const call_request& request = entry.request;
+    const duration left = entry.context->deadline - m_timers.now();
+    http_request out;
+    out.method = request.method;
+    out.url = m_settings.upstream_url + request.path;
+    out.headers = forwardable(request.headers);
+    out.headers.emplace_back(context_header, entry.token);
+    out.headers.emplace_back(request_id_header, request.request_id);
+    out.headers.emplace_back(deadline_header, fmt::to_string(to_milliseconds(left)));
+    out.headers.emplace_back(organisation_header, request.organisation);
+    out.headers.emplace_back(importance_header, to_string(request.level));
+    out.body = request.body;
+    out.timeout = left;
+    return out;
+}
+
+void guard_service::on_upstream_answer(const attempt_id& id, leaf::result<http_answer> result)
+{
+    auto node = m_calls.extract(id);
+    if (node.empty())
+        return;
+    call& entry = node.mapped();
+    end_context(entry);
+    if (result)
+        answer_ran(entry, std::move(*result));
+    else
+        answer_failed(entry, error_of(std::move(result), http_error::connection_lost));
+}
+
+void guard_service::answer_ran(call& entry, http_answer answer)
+{
+    const duration service_time = m_timers.now() - entry.admitted;
+    const bool failed = is_server_error(answer.status);
+    m_admission.finished(entry.request.attempt, service_time,
+                         failed ? finish_result::failed : finish_result::succeeded);
+    call_answer out;
+    out.result = outcome::ran;
+    out.status = answer.status;
+    out.headers = forwardable(answer.headers);
+    out.body = std::move(answer.body);
+    out.service_time = service_time;
+    settle_record(entry, out);
+    finish(entry, std::move(out));
+}
+
+void guard_service::answer_failed(call& entry, http_error error)
+{
+    const duration service_time = m_timers.now() - entry.admitted;
+    m_admission.finished(entry.request.attempt, service_time, finish_result_of(error));
+    const refusal why = refusal_of(error);
+    call_answer out;
+    out.result = why.result;
+    out.reason = why.reason;
+    out.service_time = service_time;
+    settle_record(entry, out);
+    finish(entry, std::move(out));
+}
+
+void guard_service::settle_record(call& entry, const call_answer& answer)
+{
+    if (!entry.record)
+        return;
+    if (answer.result == outcome::ran)
+        return m_once.complete(*entry.record, {answer.status, answer.headers, answer.body});
+    if (answer.result == outcome::not_run)
+        return m_once.abandon(*entry.record);
+    m_once.complete_without_answer(*entry.record);
+}
+
+void guard_service::refuse(call& entry, const refusal& why)
+{
+    call_answer answer;
+    answer.result = why.result;
+    answer.reason = why.reason;
+    answer.retry_after = why.retry_after;
+    answer.unused_retries = entry.request.retries;
+    finish(entry, std::move(answer));
+}
+
+void guard_service::finish(call& entry, call_answer answer)
+{
+    answer.receiver = m_settings.self.name;
+    answer.sequence = entry.request.attempt.sequence;
+    answer.load = m_admission.report(entry.request.organisation);
+    if (entry.running)
+        answer.queue_wait = entry.admitted - entry.received;
+    if (entry.context) {
+        answer.unused_retries = entry.context->allowance.remaining();
+        answer.retries_exhausted = entry.context->retries_exhausted;
+        answer.failed_below = entry.context->failed_below;
+        if (entry.context->load_below)
+            answer.load = stricter(answer.load, *entry.context->load_below);
+    }
+    note(entry, answer);
+    if (!entry.sender_gone)
+        entry.done(std::move(answer));
+}
+
+void guard_service::end_context(call& entry)
+{
+    entry.context->running = false;
+    m_contexts.erase(entry.token);
+    const auto nested = std::exchange(entry.context->nested, {});
+    for (const auto& [id, cancel_nested] : nested)
+        cancel_nested();
+}
+
+void guard_service::note(const call& entry, const call_answer& answer)
+{
+    const call_request& request = entry.request;
+    decision_record record;
+    record.request_id = request.request_id;
+    record.hop = request.depth - 1;
+    record.role = hop_role::guard;
+    record.node = m_settings.self.name;
+    record.peer = request.attempt.sender.name;
+    record.organisation = request.organisation;
+    record.service = request.service;
+    record.route = request.route;
+    record.level = request.level;
+    record.idempotent = request.idempotent;
+    record.reason = answer.reason;
+    record.attempts = 1;
+    record.configuration_revision = request.revision;
+    record.status = static_cast<std::uint32_t>(answer.status);
+    record.result = answer.result;
+    record.waited = answer.queue_wait;
+    record.took = m_timers.now() - entry.received;
+    m_observer.on_finished(record);
+}
+
+void guard_service::cancel(const attempt_id& id)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end()) {
+        m_filter.accept(id); // a call that arrives after its cancel must not start
+        return;
+    }
+    call& entry = it->second;
+    if (!entry.running) {
+        if (!m_admission.cancel(id))
+            return;
+        if (entry.record)
+            m_once.abandon(*entry.record);
+        m_calls.erase(it);
+        return;
+    }
+    entry.sender_gone = true;
+    if (!entry.request.idempotent)
+        return;
+    m_upstream.cancel(entry.exchange);
+    auto node = m_calls.extract(it);
+    end_context(node.mapped());
+    m_admission.finished(id, m_timers.now() - node.mapped().admitted, finish_result::cancelled);
+    call_answer answer;
+    answer.reason = refusal_reason::caller_gone;
+    finish(node.mapped(), std::move(answer));
+}
+
+std::shared_ptr<call_context> guard_service::find_context(std::string_view token) const
+{
+    const auto it = m_contexts.find(std::string(token));
+    return it == m_contexts.end() ? nullptr : it->second;
+}
+
+std::size_t guard_service::refuse_all(refusal_reason reason)
+{
+    auto calls = std::exchange(m_calls, {});
+    for (auto& [id, entry] : calls) {
+        if (entry.running) {
+            m_upstream.cancel(entry.exchange);
+            end_context(entry);
+            if (entry.record)
+                m_once.complete_without_answer(*entry.record);
+            refuse(entry, {reason, outcome::unknown, duration{0}});
+            continue;
+        }
+        m_admission.cancel(id);
+        if (entry.record)
+            m_once.abandon(*entry.record);
+        refuse(entry, not_run(reason));
+    }
+    return calls.size();
+}
+
+void guard_service::begin_leaving()
+{
+    if (!m_leaving_since)
+        m_leaving_since = m_timers.now();
+}
+
+} // namespace mulberry
--- a/tests/auto/libs/documents/tst_daemonsettings.cpp
+++ b/tests/auto/libs/documents/tst_daemonsettings.cpp
@@ -68,7 +68,8 @@
 {
     const auto parsed = parse_daemon_settings(single.substr(0, single.find("store")) + peers + R"(
 store = ["http://10.0.0.9:2379", "https://store.example:2379"]
-seeds = ["10.0.0.2:8602", "[fd00::2]:8602"]
+failure_domains = ["floreal", "quay"]
+seeds = ["node-2@10.0.0.2:8602", "node-3@[fd00::2]:8602"]
 operators_listen = "[::1]:8603"
 operator_credential_file = "credential"
 second_signal = "ignore"
@@ -81,8 +82,8 @@
     BOOST_TEST(!parsed->store_in_memory);
     BOOST_TEST(parsed->store_endpoints.size() == 2U);
     BOOST_REQUIRE(parsed->seeds.size() == 2U);
-    BOOST_TEST(parsed->seeds[1].address == "fd00::2");
-    BOOST_TEST(to_string(parsed->seeds[1]) == "[fd00::2]:8602");
+    BOOST_TEST(parsed->seeds[1].endpoint.address == "fd00::2");
+    BOOST_TEST(to_string(parsed->seeds[1].endpoint) == "[fd00::2]:8602");
     BOOST_TEST((parsed->peers_advertised == parsed->peers_listen));
     BOOST_TEST(parsed->operators_listen.port == 8603);
     BOOST_TEST((parsed->second_signal == second_signal_action::ignore));
@@ -110,8 +111,10 @@
         {single + "log_level = \"trace\"\n", 7, "log_level", "trace"},
         {single + "second_signal = \"exit\"\n", 7, "second_signal", "exit"},
         {single + "drainlimit = \"1s\"\n", 7, "drainlimit", "not a known key"},
-        {single + "seeds = [\"10.0.0.2:8602\"]\n", 7, "seeds", "needs peers_listen"},
-        {single + peers + "seeds = [\"10.0.0.2:0\"]\n", 11, "seeds", "address:port"},
+        {single + "seeds = [\"node-2@10.0.0.2:8602\"]\n", 7, "seeds", "needs peers_listen"},
+        {single + peers + "seeds = [\"node-2@10.0.0.2:0\"]\n", 11, "seeds", "address:port"},
+        {single + peers + "seeds = [\"10.0.0.2:8602\"]\n", 11, "seeds", "node@address:port"},
+        {single + "failure_domains = [\"floreal\"]\n", 7, "failure_domains", "must contain"},
         {single + peers.substr(0, peers.find("peer_private")), 7, "peers_listen", "peer_private_key_file"},
         {single + peers + "peers_advertised = \"0.0.0.0:1\"\n", 11, "peers_advertised", "reach"},
         {single + "operators_listen = \"127.0.0.1:1\"\n", 7, "operators_listen", "operator_credential_file"},
@@ -135,10 +138,10 @@
 
 BOOST_AUTO_TEST_CASE(command_line_replaces_the_file)
 {
-    const settings_file file(single + "log_level = \"debug\"\n" + peers + "seeds = [\"10.0.0.2:1\"]\n");
+    const settings_file file(single + "log_level = \"debug\"\n" + peers + "seeds = [\"node-2@10.0.0.2:1\"]\n");
     const std::vector<std::string> arguments{
-        "--settings", file.name(), "--log-level=error", "--node-name",   "node-2", "--seeds",
-        "10.0.0.3:1", "--seeds",   "10.0.0.4:1",        "--drain-limit", "5s"};
+        "--settings",        file.name(), "--log-level=error", "--node-name",   "node-2", "--seeds",
+        "node-3@10.0.0.3:1", "--seeds",   "node-4@10.0.0.4:1", "--drain-limit", "5s"};
     const auto parsed = parse_daemon_command_line(arguments);
     BOOST_REQUIRE(parsed.has_value());
     BOOST_TEST((parsed->wanted == daemon_command_line::action::run));
@@ -146,7 +149,7 @@
     BOOST_TEST((parsed->settings.level == log_level::error));
     BOOST_TEST((parsed->settings.drain_limit == std::chrono::seconds(5)));
     BOOST_REQUIRE(parsed->settings.seeds.size() == 2U);
-    BOOST_TEST(parsed->settings.seeds[0].address == "10.0.0.3");
+    BOOST_TEST(parsed->settings.seeds[0].endpoint.address == "10.0.0.3");
 }
 
 // Guards against arguments that are guessed, ignored, or reported without their name.
--- /dev/null
+++ b/tests/fakes/fakeupstream.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "fakes/nodetimers.h"
+#include "libs/base/randomsource.h"
+#include "libs/http/httpclient.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace mulberry {
+
+/// How a fake upstream behaves. Probabilities are per request.
+struct upstream_faults {
+    duration service_time{20'000};
+    /// The connection cannot be made; nothing runs.
+    double unreachable = 0;
+    /// The request runs and its answer is lost.
+    double lost_answer = 0;
+    /// Status 503 without having run.
+    double shed = 0;
+};
+
+/// An upstream behind the interface of the HTTP client. It answers with the body of the request, and reports each run.
+class fake_upstream final : public http_client {
+public:
+    using run_observer = std::function<void(const http_request&)>;
+    using nested_call = std::function<void(const http_request&, std::function<void()> done)>;
+
+    fake_upstream(timer_service& timers, random_source& random) : m_timers(timers), m_random(random) {}
+
+    void set_faults(const upstream_faults& faults) { m_faults = faults; }
+    /// Called when a request starts to run.
+    void on_run(run_observer observer) { m_observer = std::move(observer); }
+    /// Work that a request does through the node before its own service time; `done` goes on with the request.
+    void set_nested_call(nested_call call) { m_nested = std::move(call); }
+
+    http_call_id send(http_request request, http_callback done) override;
+    void cancel(http_call_id id) override;
+    http_call_id stream(http_request request, std::function<void(std::string_view)> on_piece,
+                        http_callback done) override;
+
+    /// Header fields of the last request that ran.
+    const http_headers& last_headers() const { return m_last_headers; }
+    std::size_t running() const { return m_running.size(); }
+
+private:
+    void serve(http_call_id id);
+    void finish(http_call_id id, leaf::result<http_answer> result);
+
+    struct exchange {
+        http_request request;
+        http_callback done;
+    };
+
+    timer_service& m_timers;
+    random_source& m_random;
+    upstream_faults m_faults;
+    run_observer m_observer;
+    nested_call m_nested;
+    http_headers m_last_headers;
+    std::unordered_map<http_call_id, exchange> m_running;
+    http_call_id m_last_id = 0;
+};
+
+} // namespace mulberry
--- a/tests/fakes/faultystore.cpp
+++ b/tests/fakes/faultystore.cpp
@@ -12,6 +12,18 @@
     m_timers.schedule(m_faults.latency, [done = std::move(done), error] { done(captured_error<Result>(error)); });
 }
 
+template <typename Result>
+faulty_store::callback<Result> faulty_store::guarded(callback<Result> done)
+{
+    // The answer goes through the timers of the node, so that it waits while the node is paused.
+    return [this, alive = std::weak_ptr<bool>(m_alive), done = std::move(done)](leaf::result<Result> result) {
+        if (alive.expired())
+            return;
+        auto held = std::make_shared<leaf::result<Result>>(std::move(result));
+        m_timers.schedule(duration{0}, [done, held] { done(std::move(*held)); });
+    };
+}
+
 template <typename Result>
 void faulty_store::run(callback<Result> done, bool is_write, std::function<void(callback<Result>)> operation)
 {
@@ -21,7 +33,7 @@
     const bool lose = is_write && m_random.unit() < m_faults.lost_answer;
     m_timers.schedule(m_faults.latency, [this, lose, done = std::move(done), operation = std::move(operation)] {
         if (!lose)
-            return operation(done);
+            return operation(guarded<Result>(done));
         operation([](const leaf::result<Result>&) {});
         fail<Result>(done, store_error::unknown_outcome);
     });
@@ -70,11 +82,14 @@
 watch_id faulty_store::watch(std::string_view prefix, std::int64_t from_revision, watch_callback on_change)
 {
     ++m_calls;
-    return m_backing.watch(prefix, from_revision, [this, on_change = std::move(on_change)](auto events) {
-        if (m_faults.down)
-            return on_change(captured_error<std::vector<watch_event>>(store_error::unavailable));
-        on_change(std::move(events));
-    });
+    return m_backing.watch(prefix, from_revision,
+                           [this, alive = std::weak_ptr<bool>(m_alive), on_change = std::move(on_change)](auto events) {
+                               if (alive.expired())
+                                   return;
+                               if (m_faults.down)
+                                   return on_change(captured_error<std::vector<watch_event>>(store_error::unavailable));
+                               on_change(std::move(events));
+                           });
 }
 
 void faulty_store::cancel_watch(watch_id id)
--- a/tests/fakes/faultystore.h
+++ b/tests/fakes/faultystore.h
@@ -3,6 +3,8 @@
 #include "libs/base/randomsource.h"
 #include "libs/store/memorystore.h"
 
+#include <memory>
+
 namespace mulberry {
 
 /// Faults that a client of the store may see. Probabilities are per call.
@@ -43,6 +45,8 @@
     template <typename Result>
     void run(callback<Result> done, bool is_write, std::function<void(callback<Result>)> operation);
     template <typename Result>
+    callback<Result> guarded(callback<Result> done);
+    template <typename Result>
     void fail(callback<Result> done, store_error error);
 
     memory_store& m_backing;
@@ -50,6 +54,8 @@
     random_source& m_random;
     store_faults m_faults;
     std::uint64_t m_calls = 0;
+    // The backing store may answer after this object is gone.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace mulberry
