Add the configuration slice

Documents must be in force everywhere within seconds, never go back, and keyed requests must stop when a withdrawal may have been missed. config_view holds the documents, config_relay brings them along the tree, view_age judges how old the view is, config_writer writes for operators.

--- a/src/plugins/configuration/configrelay.h
+++ b/src/plugins/configuration/configrelay.h
@@ -61,8 +61,8 @@
 
     /// A document that config_writer wrote to the store: applies it and tells the children.
     void accept(config_document document);
-    /// The store gave a definite answer to a request sent at this time.
-    void store_reached(time_point request_sent);
+    /// The store has just given a definite answer.
+    void store_reached();
 
     void on_message(std::string_view from, std::string_view payload) override;
 
--- /dev/null
+++ b/src/plugins/configuration/relaytree.cpp
@@ -0,0 +1,82 @@
+#include "plugins/configuration/relaytree.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace mulberry::detail {
+
+namespace {
+
+std::uint64_t rank_of(std::string_view name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+} // namespace
+
+bool relay_tree::eligible(const member& record)
+{
+    return record.state == member_state::starting || record.state == member_state::serving;
+}
+
+bool relay_tree::affected_by(const member& changed) const
+{
+    const bool present = std::binary_search(m_hashes.begin(), m_hashes.end(), rank_of(changed.id.name));
+    return present != eligible(changed);
+}
+
+void relay_tree::rebuild(std::span<const member> members)
+{
+    using ranked = std::pair<std::uint64_t, const member*>;
+    std::map<std::string_view, std::vector<ranked>> domains;
+    m_hashes.clear();
+    for (const member& record : members) {
+        // A node that leaves keeps its own place, so that it goes on pulling until its end.
+        if (!eligible(record) && record.id.name != m_node)
+            continue;
+        const std::uint64_t rank = rank_of(record.id.name);
+        if (eligible(record))
+            m_hashes.push_back(rank);
+        domains[record.location.failure_domain].emplace_back(rank, &record);
+    }
+    std::sort(m_hashes.begin(), m_hashes.end());
+    m_watchers.clear();
+    m_place = watchers_per_domain;
+    m_parents.clear();
+    m_children.clear();
+    for (auto& [domain, order] : domains) {
+        std::sort(order.begin(), order.end());
+        auto& names = m_watchers[std::string(domain)];
+        for (std::size_t i = 0; i < std::min(order.size(), watchers_per_domain); ++i)
+            names.push_back(order[i].second->id.name);
+        if (domain == m_domain)
+            find_relatives(order);
+    }
+}
+
+void relay_tree::find_relatives(const std::vector<std::pair<std::uint64_t, const member*>>& order)
+{
+    constexpr std::size_t children_of_pair = 2 * relay_fanout;
+    const auto own =
+        std::find_if(order.begin(), order.end(), [this](const auto& each) { return each.second->id.name == m_node; });
+    if (own == order.end())
+        return;
+    m_place = static_cast<std::size_t>(own - order.begin());
+    if (m_place >= watchers_per_domain) {
+        const std::size_t pair = (m_place - watchers_per_domain) / children_of_pair;
+        const std::size_t preferred = 2 * pair + m_place % 2;
+        m_parents = {order[preferred].second->id.name, order[preferred ^ 1U].second->id.name};
+    }
+    const std::size_t begin = watchers_per_domain + m_place / 2 * children_of_pair;
+    for (std::size_t i = begin; i < std::min(begin + children_of_pair, order.size()); ++i)
+        m_children.push_back(order[i].second->id.name);
+}
+
+std::vector<std::string> relay_tree::watchers_of(std::string_view domain) const
+{
+    const auto it = m_watchers.find(domain);
+    return it == m_watchers.end() ? std::vector<std::string>{} : it->second;
+}
+
+} // namespace mulberry::detail
--- a/src/plugins/configuration/viewage.h
+++ b/src/plugins/configuration/viewage.h
@@ -19,7 +19,7 @@
     duration age{0};
     /// How long ago a watcher of the domain last got an answer from the store; empty if never.
     std::optional<duration> store_reached_ago;
-    /// The highest revision that the domain's watchers hold or have accepted.
+    /// The highest document revision that the domain's watchers hold or have accepted.
     std::int64_t known_revision = 0;
     /// The revision that every node of the domain has confirmed.
     std::int64_t confirmed_revision = 0;
@@ -31,6 +31,8 @@
 constexpr duration default_view_limit{std::chrono::seconds(2)};
 constexpr duration min_view_limit{std::chrono::seconds(1)};
 constexpr duration max_view_limit{std::chrono::hours(1)};
+/// A domain that got no answer from the store for this long has missed a heartbeat and does not reach it.
+constexpr duration out_of_reach_after{std::chrono::milliseconds(1500)};
 
 /// Knows how old the view is and what the domains state about the store.
 class view_age {
@@ -49,14 +51,15 @@
     /// Age of the view; empty before it was complete once.
     std::optional<duration> age() const;
 
-    /// A statement that came with the answer to a request sent at this time.
+    /// A statement that came now with the answer to a request sent at this time. One about an unknown domain is
+    /// ignored.
     void hear(const domain_statement& statement, time_point request_sent);
     /// What is known of every domain that was heard, with ages as of now.
     std::vector<domain_statement> statements() const;
 
     /// Whether keyed requests may run: the view is younger than the limit, or every domain states with a statement
-    /// younger than the limit that it does not reach the store, and this view holds all that they know.
-    bool keyed_requests_allowed(std::int64_t complete_revision) const;
+    /// younger than the limit that it does not reach the store, and this view holds the revisions they know.
+    bool keyed_requests_allowed(std::int64_t held_revision) const;
 
 private:
     struct heard_statement {
@@ -66,7 +69,7 @@
         std::int64_t confirmed_revision = 0;
     };
 
-    bool store_is_out_of_reach(const heard_statement& statement, std::int64_t complete_revision) const;
+    bool store_is_out_of_reach(const heard_statement& statement, std::int64_t held_revision) const;
 
     timer_service& m_timers;
     duration m_limit = default_view_limit;
--- /dev/null
+++ b/tests/auto/plugins/configuration/tst_configparts.cpp
@@ -0,0 +1,168 @@
+#include "fakes/virtualtimerservice.h"
+#include "libs/base/invariant.h"
+#include "plugins/configuration/configview.h"
+#include "plugins/configuration/relaytree.h"
+#include "plugins/configuration/viewage.h"
+
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+namespace mulberry {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class change_recorder final : public config_listener {
+public:
+    void on_document_changed(const config_document& document) override { m_changes.push_back(document); }
+    std::vector<config_document> m_changes;
+};
+
+} // namespace
+
+// Guards against late or repeated messages that bring an old document or a deleted one back.
+BOOST_AUTO_TEST_CASE(view_applies_rising_revisions_only)
+{
+    struct row {
+        config_document document;
+        bool applied = false;
+    };
+    config_view view;
+    change_recorder recorder;
+    view.add_listener(recorder);
+    for (const row& each : {row{{"documents/a", "one", 5, false}, true}, row{{"documents/a", "one", 5, false}, false},
+                            row{{"documents/a", "zero", 4, false}, false}, row{{"documents/a", "", 7, true}, true},
+                            row{{"documents/a", "one", 5, false}, false}, row{{"documents/b", "two", 6, false}, true},
+                            row{{"documents/a", "three", 9, false}, true}})
+        BOOST_TEST(view.apply(each.document) == each.applied);
+    BOOST_TEST(recorder.m_changes.size() == 4U);
+    BOOST_TEST(view.find("documents/a")->content == "three");
+    BOOST_TEST(view.newest_revision() == 9);
+    BOOST_TEST(view.newer_than(5).size() == 2U);
+    BOOST_TEST(view.newer_than(5).front()->key == "documents/b");
+    view.apply({"documents/a", "", 10, true});
+    BOOST_TEST((view.find("documents/a") == nullptr));
+    BOOST_TEST(view.documents(documents_prefix).size() == 1U);
+    view.set_complete(8);
+    view.set_complete(3);
+    BOOST_TEST(view.complete_revision() == 8);
+}
+
+// Shows that the invariant fires when a table is told to go back, and when one revision has two contents.
+BOOST_AUTO_TEST_CASE(invariant_fires_for_a_falling_revision)
+{
+    const auto violations = [] { return invariant_monitor::instance().violations(invariant::revision_monotonic); };
+    const std::uint64_t before = violations();
+    detail::document_table table;
+    BOOST_TEST(table.put({"documents/a", "new", 5, false}));
+    BOOST_TEST(table.put({"documents/a", "new", 5, false}));
+    BOOST_TEST(violations() == before);
+    BOOST_TEST(!table.put({"documents/a", "old", 4, false}));
+    BOOST_TEST(violations() == before + 1);
+    config_view view;
+    view.apply({"documents/a", "one", 5, false});
+    BOOST_TEST(!view.apply({"documents/a", "other", 5, false}));
+    BOOST_TEST(violations() == before + 2);
+    BOOST_TEST(table.find("documents/a")->content == "new");
+}
+
+// Guards against keyed requests on an old view, and against refusing them when nothing can have been accepted.
+BOOST_AUTO_TEST_CASE(keyed_requests_follow_the_rule)
+{
+    struct row {
+        const char* name = nullptr;
+        duration view_age{0};
+        duration statement_age{0};
+        std::optional<duration> reached_ago;
+        std::int64_t known_revision = 0;
+        bool all_domains = true;
+        bool allowed = false;
+    };
+    const row table[] = {
+        {"fresh view needs no statements", milliseconds(1900), seconds(60), seconds(0), 5, false, true},
+        {"old view, store reached by a domain", milliseconds(2100), seconds(0), milliseconds(200), 5, true, false},
+        {"old view, store reached by none", seconds(600), seconds(1), seconds(600), 5, true, true},
+        {"store never reached", seconds(600), seconds(1), std::nullopt, 5, true, true},
+        {"a domain is silent", seconds(600), seconds(1), seconds(600), 5, false, false},
+        {"a statement is old", seconds(600), milliseconds(2100), seconds(600), 5, true, false},
+        {"a domain knows a newer revision", seconds(600), seconds(1), seconds(600), 6, true, false},
+    };
+    const std::vector<std::string> domains{"a", "b"};
+    for (const row& each : table) {
+        BOOST_TEST_CONTEXT(each.name)
+        {
+            virtual_timer_service timers;
+            timers.advance(seconds(1000));
+            view_age age(timers, domains);
+            BOOST_TEST(!age.keyed_requests_allowed(5));
+            age.set_fresh_at(timers.now() - each.view_age);
+            age.hear({"a", duration{0}, std::nullopt, 5, 0}, timers.now());
+            if (each.all_domains)
+                age.hear({"b", each.statement_age, each.reached_ago, each.known_revision, 0}, timers.now());
+            age.hear({"nowhere", duration{0}, duration{0}, 99, 0}, timers.now());
+            BOOST_TEST(age.keyed_requests_allowed(5) == each.allowed);
+        }
+    }
+}
+
+// Guards against an old statement that replaces a newer one, and a limit outside its bounds.
+BOOST_AUTO_TEST_CASE(statements_take_the_safe_bound)
+{
+    virtual_timer_service timers;
+    timers.advance(seconds(100));
+    const std::vector<std::string> domains{"a"};
+    view_age age(timers, domains);
+    age.hear({"a", seconds(1), seconds(30), 4, 3}, timers.now() - milliseconds(300));
+    age.hear({"a", seconds(9), seconds(40), 2, 1}, timers.now());
+    const domain_statement known = age.statements().front();
+    BOOST_TEST((known.age == milliseconds(1300)));
+    BOOST_TEST((*known.store_reached_ago == seconds(30)));
+    BOOST_TEST(known.known_revision == 4);
+    BOOST_TEST(known.confirmed_revision == 3);
+    age.set_limit(seconds(0));
+    BOOST_TEST((age.limit() == min_view_limit));
+    age.set_limit(std::chrono::hours(5));
+    BOOST_TEST((age.limit() == max_view_limit));
+}
+
+// Guards against nodes without a way to a watcher, and nodes with more children than the fan-out allows.
+BOOST_AUTO_TEST_CASE(tree_reaches_every_node)
+{
+    for (const int size : {1, 2, 3, 18, 19, 200, 300}) {
+        std::vector<member> members;
+        for (int i = 0; i < size; ++i) {
+            member record;
+            record.id.name = "vm-" + std::to_string(i);
+            record.location.failure_domain = "a";
+            record.state = member_state::serving;
+            members.push_back(record);
+        }
+        int watchers = 0;
+        std::map<std::string, std::vector<std::string>> parents;
+        std::map<std::string, std::vector<std::string>> children;
+        std::map<std::string, std::size_t> places;
+        for (const member& record : members) {
+            detail::relay_tree tree(record.id.name, "a");
+            tree.rebuild(members);
+            watchers += tree.is_watcher() ? 1 : 0;
+            BOOST_TEST(tree.parents().size() == (tree.is_watcher() ? 0U : 2U));
+            BOOST_TEST(tree.children().size() <= 2 * detail::relay_fanout);
+            BOOST_TEST(!tree.affected_by(record));
+            parents[record.id.name] = tree.parents();
+            children[record.id.name] = tree.children();
+            places[record.id.name] = tree.place();
+        }
+        BOOST_TEST(watchers == std::min(size, 2));
+        for (const auto& [name, names] : parents) {
+            for (const std::string& parent : names) {
+                BOOST_TEST(places[parent] < places[name]);
+                BOOST_TEST(std::ranges::count(children[parent], name) == 1);
+            }
+        }
+    }
+}
+
+} // namespace mulberry
