Spill to farther upstreams in proportion to the gain

Cause: all senders of a failure domain moved to another one as soon as its latency was 3 ms lower, and overloaded it before its latency showed it; guards shed at two thirds of the capacity. Change: the part of calls that goes farther is twice the relative gain; latency fades in 0.5 s; an upstream without recent answers counts as typical for its service.

--- a/src/plugins/routing/upstreamobservation.cpp
+++ b/src/plugins/routing/upstreamobservation.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr double latency_time_constant_s = 1;
+/// Long against the noise of single answers, short against the time a queue takes to build up.
+constexpr double latency_time_constant_s = 0.5;
 /// Weight below which a latency is too old to be used; the upstream is then tried again.
 constexpr double least_weight = 0.01;
 /// Part by which one decision moves the share of refusals.
@@ -74,20 +75,21 @@
     m_refused_share += (refused - m_refused_share) * refusal_gain;
 }
 
-duration upstream_observation::expected_latency(time_point now) const
+duration upstream_observation::expected_latency(time_point now, duration typical) const
 {
     const double factor = std::exp(-to_seconds(now - m_updated) / latency_time_constant_s);
-    double latency = m_latency_weight * factor > least_weight ? m_latency_sum / m_latency_weight : 0;
+    double latency = m_latency_weight * factor > least_weight ? m_latency_sum / m_latency_weight
+                                                              : static_cast<double>(typical.count());
     if (m_in_flight > 0)
         latency = std::max(latency, static_cast<double>((now - m_last_progress).count()));
     return duration{static_cast<std::int64_t>(latency + m_refused_share * factor * refusal_cost_us)};
 }
 
-double upstream_observation::cost(time_point now) const
+double upstream_observation::cost(time_point now, duration typical) const
 {
     const double capacity = m_limit == 0 ? 1 : m_limit;
     // 1 us keeps the calls in flight in the comparison while no latency is known.
-    return (static_cast<double>(expected_latency(now).count()) + 1) * (m_in_flight + 1) / capacity;
+    return (static_cast<double>(expected_latency(now, typical).count()) + 1) * (m_in_flight + 1) / capacity;
 }
 
 void upstream_observation::eject(time_point now, duration first, duration longest)
--- a/src/plugins/routing/upstreamobservation.h
+++ b/src/plugins/routing/upstreamobservation.h
@@ -16,10 +16,11 @@
     std::uint32_t on_failed(time_point now);
     void on_abandoned();
 
-    /// Expected time to an answer, refusals and a stall of the answers included; zero if nothing was seen recently.
-    duration expected_latency(time_point now) const;
+    /// Expected time to an answer, refusals and a stall of the answers included. Without recent answers the typical
+    /// latency of the service stands in.
+    duration expected_latency(time_point now, duration typical) const;
     /// Relative cost of one more call: the expected latency times the calls in flight per unit of capacity.
-    double cost(time_point now) const;
+    double cost(time_point now, duration typical) const;
     std::uint32_t in_flight() const { return m_in_flight; }
 
     bool is_ejected(time_point now) const { return now < m_ejected_until; }
--- a/src/plugins/routing/upstreamselector.cpp
+++ b/src/plugins/routing/upstreamselector.cpp
@@ -17,6 +17,11 @@
 constexpr std::string_view log_part = "routing";
 /// Least part of its normal share that an upstream gets at the begin of its ramp; without calls it would stay cold.
 constexpr double least_ramp = 0.1;
+/// Part of the calls that go farther away per relative gain in latency. Sending all of them at once would overload the
+/// farther upstreams before their latency shows it.
+constexpr double spill_per_gain = 2;
+/// Part by which one answer moves the typical latency of a service.
+constexpr double typical_gain = 0.01;
 
 } // namespace
 
@@ -50,11 +55,18 @@
     using candidate = upstream_map::value_type*;
     using candidate_list = std::vector<candidate>;
 
+    struct service_view {
+        candidate_list subset;
+        double typical_us = 0;
+    };
+
+    bool is_worth(duration near, duration far, duration gain);
+    duration typical_latency(std::string_view service) const;
     void set_link_rate(std::span<const upstream_info> upstreams);
     candidate_list usable(std::string_view service, const routing_context& context);
     void leave_out_ejected(candidate_list& candidates) const;
     void leave_out_ramping(candidate_list& candidates);
-    candidate better_of_two(std::span<const candidate> tier);
+    candidate better_of_two(std::span<const candidate> tier, duration typical);
     bool is_ejectable(const upstream& subject) const;
     upstream* find(std::string_view name);
 
@@ -65,7 +77,7 @@
     random_source& m_random;
     detail::byte_budget m_budget;
     upstream_map m_upstreams;
-    std::map<std::string, candidate_list, std::less<>> m_subsets;
+    std::map<std::string, service_view, std::less<>> m_services;
 };
 
 void upstream_selector::implementation::update(std::span<const upstream_info> upstreams)
@@ -89,9 +101,10 @@
     }
     // Calls in flight to an upstream that has left are no longer of interest.
     m_upstreams = std::move(next);
-    m_subsets.clear();
+    for (auto& [service, view] : m_services)
+        view.subset.clear();
     for (auto& [service, list] : candidates) {
-        candidate_list& subset = m_subsets[service];
+        candidate_list& subset = m_services[service].subset;
         for (const auto& each : detail::choose_subset(m_own_name, std::move(list), m_settings.subset_size))
             subset.push_back(&*m_upstreams.find(each.name));
     }
@@ -111,6 +124,7 @@
                                                                      const routing_context& context)
 {
     const time_point now = m_timers.now();
+    const duration typical = typical_latency(service);
     const candidate_list candidates = usable(service, context);
     const std::array gains{duration{0}, m_settings.domain_gain, m_settings.region_gain};
     candidate best = nullptr;
@@ -124,9 +138,9 @@
                              [away](candidate each) { return each->second.away == away; });
         if (tier.empty())
             continue;
-        const candidate chosen = better_of_two(tier);
-        const duration latency = chosen->second.observed.expected_latency(now);
-        if (best != nullptr && latency + gains[static_cast<std::size_t>(away)] >= best_latency)
+        const candidate chosen = better_of_two(tier, typical);
+        const duration latency = chosen->second.observed.expected_latency(now, typical);
+        if (best != nullptr && !is_worth(best_latency, latency, gains[static_cast<std::size_t>(away)]))
             continue;
         best = chosen;
         best_latency = latency;
@@ -136,14 +150,26 @@
     return best->first;
 }
 
+bool upstream_selector::implementation::is_worth(duration near, duration far, duration gain)
+{
+    const double excess = to_seconds(near - far - gain);
+    return excess > 0 && m_random.unit() < spill_per_gain * excess / to_seconds(near);
+}
+
+duration upstream_selector::implementation::typical_latency(std::string_view service) const
+{
+    const auto it = m_services.find(service);
+    return it == m_services.end() ? duration{0} : duration{static_cast<std::int64_t>(it->second.typical_us)};
+}
+
 upstream_selector::implementation::candidate_list
 upstream_selector::implementation::usable(std::string_view service, const routing_context& context)
 {
-    const auto it = m_subsets.find(service);
-    if (it == m_subsets.end())
+    const auto it = m_services.find(service);
+    if (it == m_services.end())
         return {};
     candidate_list candidates;
-    std::ranges::copy_if(it->second, std::back_inserter(candidates), [&](candidate each) {
+    std::ranges::copy_if(it->second.subset, std::back_inserter(candidates), [&](candidate each) {
         return std::ranges::find(context.excluded, each->first) == context.excluded.end();
     });
     leave_out_ejected(candidates);
@@ -172,15 +198,16 @@
 }
 
 upstream_selector::implementation::candidate
-upstream_selector::implementation::better_of_two(std::span<const candidate> tier)
+upstream_selector::implementation::better_of_two(std::span<const candidate> tier, duration typical)
 {
     const std::size_t first = m_random.uniform(tier.size());
     if (tier.size() == 1)
         return tier[first];
     const std::size_t second = (first + 1 + m_random.uniform(tier.size() - 1)) % tier.size();
     const time_point now = m_timers.now();
-    return tier[first]->second.observed.cost(now) <= tier[second]->second.observed.cost(now) ? tier[first]
-                                                                                             : tier[second];
+    return tier[first]->second.observed.cost(now, typical) <= tier[second]->second.observed.cost(now, typical)
+               ? tier[first]
+               : tier[second];
 }
 
 void upstream_selector::implementation::on_sent(std::string_view name, std::uint64_t request_bytes)
@@ -200,6 +227,9 @@
     if (subject == nullptr)
         return;
     subject->observed.on_answer(m_timers.now(), latency, report.concurrency_limit);
+    double& typical_us = m_services[subject->service].typical_us;
+    const double sample_us = static_cast<double>(latency.count());
+    typical_us = typical_us == 0 ? sample_us : typical_us + (sample_us - typical_us) * typical_gain;
     if (subject->away == detail::distance::other_region)
         m_budget.take(answer_bytes);
 }
@@ -233,12 +263,12 @@
 /// overloaded.
 bool upstream_selector::implementation::is_ejectable(const upstream& subject) const
 {
-    const auto it = m_subsets.find(subject.service);
-    if (it == m_subsets.end())
+    const auto it = m_services.find(subject.service);
+    if (it == m_services.end())
         return false;
     const auto ejected = std::ranges::count_if(
-        it->second, [now = m_timers.now()](candidate each) { return each->second.observed.is_ejected(now); });
-    return static_cast<std::size_t>(ejected + 1) * 2 <= it->second.size();
+        it->second.subset, [now = m_timers.now()](candidate each) { return each->second.observed.is_ejected(now); });
+    return static_cast<std::size_t>(ejected + 1) * 2 <= it->second.subset.size();
 }
 
 upstream_selector::implementation::upstream* upstream_selector::implementation::find(std::string_view name)
@@ -250,8 +280,9 @@
 std::vector<std::string> upstream_selector::implementation::subset(std::string_view service) const
 {
     std::vector<std::string> names;
-    if (const auto it = m_subsets.find(service); it != m_subsets.end())
-        std::ranges::transform(it->second, std::back_inserter(names), [](candidate each) { return each->first; });
+    if (const auto it = m_services.find(service); it != m_services.end())
+        std::ranges::transform(it->second.subset, std::back_inserter(names),
+                               [](candidate each) { return each->first; });
     return names;
 }
 
