Raise a lowered limit faster, cap the expected service time

Cause: after a stall the limit of 3 of 30 slots grew by 1.3 per window of 30 samples, and requests that sat out the stall raised the expected service time, so that new ones were refused as unreachable. The experiment also started the stall 1 s late and counted that second as recovery. Change: 5 samples may raise the limit, by 1.6; 30 are needed to lower it. The estimate is at most twice the baseline. The stall starts at the end of the measured time.

--- a/src/plugins/admission/concurrencylimiter.cpp
+++ b/src/plugins/admission/concurrencylimiter.cpp
@@ -10,12 +10,15 @@
 
 constexpr duration window{100'000};
 constexpr duration longest_window{1'000'000};
-/// The mean of fewer samples varies too much to be compared.
-constexpr std::size_t least_samples = 30;
+/// The mean of fewer samples varies too much to lower the limit or move the baseline.
+constexpr std::size_t reliable_samples = 30;
+/// Enough to raise the limit again.
+constexpr std::size_t least_samples = 5;
 constexpr std::size_t most_samples = 1'024;
 /// Service times vary with the mix of requests; only a rise beyond this factor counts as queueing in the upstream.
 constexpr double tolerance = 2;
-constexpr double growth = 1.3;
+/// Growth per window in full use. A limit that was lowered by a stall must be back within the recovery target.
+constexpr double growth = 1.6;
 constexpr double steepest_fall = 0.7;
 /// Part of the difference by which one window moves the baseline down, and up. A lasting rise is followed by 1% a
 /// second.
@@ -85,14 +88,16 @@
 {
     if (m_baseline_us == 0)
         m_baseline_us = mean_us;
-    m_baseline_us += (mean_us - m_baseline_us) * (mean_us < m_baseline_us ? baseline_fall : baseline_rise);
+    const bool reliable = m_samples_us.size() >= reliable_samples;
+    if (reliable)
+        m_baseline_us += (mean_us - m_baseline_us) * (mean_us < m_baseline_us ? baseline_fall : baseline_rise);
     if (!m_learn)
         return;
     const double gradient = tolerance * m_baseline_us / std::max(mean_us, 1.0);
-    if (gradient < 1) {
+    if (gradient < 1 && reliable) {
         m_limit *= std::max(gradient, steepest_fall);
     }
-    else if (m_in_full_use) {
+    else if (gradient >= 1 && m_in_full_use) {
         m_limit = std::max(m_limit + 1, m_limit * growth);
     }
     m_limit = std::clamp(m_limit, lowest_limit(), static_cast<double>(m_slots));
@@ -105,8 +110,10 @@
 
 duration concurrency_limiter::expected_service_time(time_point now) const
 {
+    // Requests that sat out a stall say nothing about the next ones.
+    const double estimate_us = std::min(m_median_us, tolerance * m_baseline_us);
     const double idle_s = to_seconds(now - m_last_success);
-    return duration{static_cast<std::int64_t>(m_median_us * std::exp2(-idle_s / estimate_half_life_s))};
+    return duration{static_cast<std::int64_t>(estimate_us * std::exp2(-idle_s / estimate_half_life_s))};
 }
 
 } // namespace mulberry::detail
--- a/src/tools/overloadexperiment/measures.cpp
+++ b/src/tools/overloadexperiment/measures.cpp
@@ -167,8 +167,8 @@
     m_context.timers.advance(measured);
     m_wasted += m_context.late_work - late_before;
     if (m_plan.stall > duration{0}) {
-        m_context.timers.schedule(stall_start - warm_up - measured, [this] { start_stall(); });
-        m_context.timers.advance(stall_start - warm_up - measured + m_plan.stall + watched_after_stall);
+        start_stall();
+        m_context.timers.advance(m_plan.stall + watched_after_stall);
     }
     else {
         // Requests of the window are answered under the same load.
--- a/src/tools/overloadexperiment/measures.h
+++ b/src/tools/overloadexperiment/measures.h
@@ -25,7 +25,7 @@
 
 inline constexpr duration warm_up{3'000'000};
 inline constexpr duration measured{6'000'000};
-inline constexpr duration stall_start{8'000'000};
+inline constexpr duration stall_start = warm_up + measured;
 inline constexpr duration watched_after_stall{20'000'000};
 
 struct run_result {
