Judge standing queues per importance, reserve retries for important requests

Cause: at 8x a queue of background requests made 80 ms the longest wait of critical ones, and failures of less important requests had spent the retry budget. Change: a queue stands per importance and above; half of the retry budget is for high and critical requests; the entry lets 1.05 instead of 1.1 of what is admitted through and probes with 1% instead of 2%.

--- a/src/plugins/admission/admissionqueue.cpp
+++ b/src/plugins/admission/admissionqueue.cpp
@@ -7,6 +7,7 @@
 #include "plugins/admission/shedstatistics.h"
 
 #include <algorithm>
+#include <array>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -55,11 +56,11 @@
     bool reachable(time_point deadline, duration wait) const;
     duration expected_wait(importance level) const;
     std::size_t queue_limit() const;
-    bool standing() const;
+    bool standing(importance level) const;
     duration burst_delay() const;
-    duration longest_wait() const;
+    duration longest_wait(importance level) const;
     void arm_expiry();
-    void expire();
+    void expire(importance level);
     void note_use();
 
     admission_settings m_settings;
@@ -70,8 +71,9 @@
     detail::shed_statistics m_statistics;
     detail::importance_order_check m_order_check;
     std::unordered_map<attempt_id, importance> m_running;
-    /// Since when the queue has not been empty.
-    time_point m_waiting_since;
+    /// Since when requests of the importance or above have been waiting without a break. A queue of background requests
+    /// must not shorten the longest wait of critical ones.
+    std::array<time_point, all_importances.size()> m_waiting_since;
     timer_id m_expiry_timer = 0;
     bool m_leaving = false;
 };
@@ -183,8 +185,10 @@
 
 void admission_queue::implementation::enqueue(detail::waiting_request item)
 {
-    if (m_queue.size() == 0)
-        m_waiting_since = m_timers.now();
+    for (std::size_t index = 0; index <= static_cast<std::size_t>(item.request.level); ++index) {
+        if (m_queue.size_from(static_cast<importance>(index)) == 0)
+            m_waiting_since[index] = m_timers.now();
+    }
     m_order_check.enqueued(item.request.level);
     m_queue.push(std::move(item));
 }
@@ -229,9 +233,10 @@
     return m_settings.queue_limit == 0 ? m_settings.slots : m_settings.queue_limit;
 }
 
-bool admission_queue::implementation::standing() const
+bool admission_queue::implementation::standing(importance level) const
 {
-    return m_queue.size() > 0 && m_timers.now() - m_waiting_since >= burst_delay();
+    return m_queue.size_from(level) > 0 &&
+           m_timers.now() - m_waiting_since[static_cast<std::size_t>(level)] >= burst_delay();
 }
 
 duration admission_queue::implementation::burst_delay() const
@@ -240,9 +245,9 @@
     return std::max(m_settings.burst_delay, from_seconds(services_s));
 }
 
-duration admission_queue::implementation::longest_wait() const
+duration admission_queue::implementation::longest_wait(importance level) const
 {
-    if (!standing())
+    if (!standing(level))
         return burst_delay();
     const double services_s =
         to_seconds(m_limiter.expected_service_time(m_timers.now())) * m_settings.standing_services;
@@ -251,27 +256,34 @@
 
 void admission_queue::implementation::arm_expiry()
 {
-    const detail::waiting_request* oldest = m_queue.oldest();
-    if (oldest == nullptr || m_expiry_timer != 0)
+    if (m_expiry_timer != 0 || m_queue.size() == 0)
         return;
-    time_point due = oldest->since + longest_wait();
-    if (!standing())
-        due = std::min(due, m_waiting_since + burst_delay());
+    time_point due = time_point::max();
+    for (const importance level : all_importances) {
+        const detail::waiting_request* oldest = m_queue.oldest(level);
+        if (oldest == nullptr)
+            continue;
+        due = std::min(due, oldest->since + longest_wait(level));
+        if (!standing(level))
+            due = std::min(due, m_waiting_since[static_cast<std::size_t>(level)] + burst_delay());
+    }
     m_expiry_timer = m_timers.schedule(due - m_timers.now(), [this] {
         m_expiry_timer = 0;
-        expire();
+        for (const importance level : all_importances)
+            expire(level);
+        arm_expiry();
     });
 }
 
-void admission_queue::implementation::expire()
+void admission_queue::implementation::expire(importance level)
 {
     const time_point now = m_timers.now();
-    while (const detail::waiting_request* oldest = m_queue.oldest()) {
-        if (now - oldest->since < longest_wait())
-            break;
+    while (const detail::waiting_request* oldest = m_queue.oldest(level)) {
+        if (now - oldest->since < longest_wait(level))
+            return;
         const attempt_id id = oldest->request.id;
         // If this request could not start in time, no less important one can: these go first.
-        const auto below = m_queue.take_below(oldest->request.level);
+        const auto below = m_queue.take_below(level);
         const auto item = m_queue.remove(id);
         for (const auto& each : below)
             on_removed(each);
@@ -280,7 +292,6 @@
             shed(each, refusal_reason::importance_shed);
         shed(*item, refusal_reason::queue_delay);
     }
-    arm_expiry();
 }
 
 void admission_queue::implementation::note_use()
--- a/src/plugins/admission/fairqueue.cpp
+++ b/src/plugins/admission/fairqueue.cpp
@@ -17,7 +17,7 @@
         level.ready.emplace(tag, turn, owner->first);
     }
     const auto position = entries.insert(entries.end(), entry{std::move(item), {}});
-    position->age = m_ages.insert(m_ages.end(), &position->item);
+    position->age = level.ages.insert(level.ages.end(), &position->item);
     m_index.emplace(position->item.request.id, location{index, owner, position});
     ++level.size;
 }
@@ -89,9 +89,10 @@
     return taken;
 }
 
-const waiting_request* fair_queue::oldest() const
+const waiting_request* fair_queue::oldest(importance level) const
 {
-    return m_ages.empty() ? nullptr : m_ages.front();
+    const auto& ages = m_levels[static_cast<std::size_t>(level)].ages;
+    return ages.empty() ? nullptr : ages.front();
 }
 
 importance fair_queue::lowest() const
@@ -113,7 +114,7 @@
     level_queue& level = m_levels[where.level];
     flow& owner = where.source->second;
     waiting_request item = std::move(where.position->item);
-    m_ages.erase(where.position->age);
+    level.ages.erase(where.position->age);
     m_index.erase(item.request.id);
     owner.entries.erase(where.position);
     --level.size;
--- a/src/plugins/admission/fairqueue.h
+++ b/src/plugins/admission/fairqueue.h
@@ -35,8 +35,8 @@
     /// Removes all requests that are less important than the level.
     std::vector<waiting_request> take_below(importance level);
 
-    /// The request that has waited longest; null if nothing waits.
-    const waiting_request* oldest() const;
+    /// The request of the importance that has waited longest; null if none waits.
+    const waiting_request* oldest(importance level) const;
     /// The lowest importance that waits; critical if nothing waits.
     importance lowest() const;
     std::size_t size() const { return m_index.size(); }
@@ -61,6 +61,8 @@
         /// Flows with waiting requests by tag; equal tags go in the order in which they became ready.
         std::set<ready_key> ready;
         double virtual_time = 0;
+        /// All waiting requests of the level in the order of arrival.
+        std::list<const waiting_request*> ages;
         std::size_t size = 0;
     };
     struct location {
@@ -75,8 +77,6 @@
     queue_order m_order;
     std::array<level_queue, all_importances.size()> m_levels;
     std::unordered_map<attempt_id, location> m_index;
-    /// All waiting requests in the order of arrival.
-    std::list<const waiting_request*> m_ages;
     std::uint64_t m_turns = 0;
 };
 
--- a/src/plugins/retry/retrybudget.cpp
+++ b/src/plugins/retry/retrybudget.cpp
@@ -15,11 +15,12 @@
     m_updated = m_timers.now();
 }
 
-bool retry_budget::take()
+bool retry_budget::take(importance level)
 {
     m_level = available();
     m_updated = m_timers.now();
-    if (m_level < 1)
+    const double reserve = level >= importance::high ? 0 : m_settings.important_reserve * m_settings.capacity;
+    if (m_level < 1 + reserve)
         return false;
     m_level -= 1;
     return true;
--- a/src/plugins/retry/retrybudget.h
+++ b/src/plugins/retry/retrybudget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libs/base/importance.h"
 #include "libs/base/timerservice.h"
 
 namespace mulberry {
@@ -11,6 +12,9 @@
     double floor_per_second = 1;
     /// Most tokens kept.
     double capacity = 20;
+    /// Part of the capacity that only high and critical requests may use, because under overload the less important
+    /// ones fail more often and would spend everything.
+    double important_reserve = 0.5;
 };
 
 /// Token bucket that limits the retries of this node to one service to a fraction of its recent successes.
@@ -19,8 +23,8 @@
     retry_budget(retry_budget_settings settings, timer_service& timers);
 
     void on_success();
-    /// Takes one token for a retry; false if less than one is left.
-    bool take();
+    /// Takes one token for a retry; false if less than one is left for the importance.
+    bool take(importance level);
     double available() const;
 
 private:
--- a/src/plugins/retry/retrypolicy.h
+++ b/src/plugins/retry/retrypolicy.h
@@ -23,6 +23,7 @@
 /// What is known about an attempt that failed.
 struct failed_attempt {
     refusal failure;
+    importance level = importance::normal;
     bool idempotent = false;
     /// The failure arose at the next hop, not below it.
     bool next_hop_failed = true;
--- a/src/plugins/throttle/entrythrottle.h
+++ b/src/plugins/throttle/entrythrottle.h
@@ -18,11 +18,11 @@
     /// How often the admitted part is adjusted; longer than an answer takes to show the effect of a change.
     duration interval{100'000};
     /// Demand let through over what the guards admit, so that spare capacity is found and used.
-    double headroom = 1.1;
+    double headroom = 1.05;
     /// Growth of the admitted part per interval while the reports show no shedding or there are none.
     double growth = 1.25;
     /// Least admitted part; requests that probe an overloaded service.
-    double floor = 0.02;
+    double floor = 0.01;
     /// Retry-After of a refusal; the jitter makes it 0.5 to 1.5 times this.
     duration retry_after{1'000'000};
 };
--- a/src/tools/overloadexperiment/callgraph.cpp
+++ b/src/tools/overloadexperiment/callgraph.cpp
@@ -134,6 +134,7 @@
     else {
         failed_attempt failed;
         failed.failure = answer.why;
+        failed.level = pending->tree->level;
         failed.idempotent = true;
         failed.next_hop_failed = !answer.failed_below;
         failed.retries_exhausted = answer.retries_exhausted;
