--- a/src/plugins/account/decisionlog.h
+++ b/src/plugins/account/decisionlog.h
@@ -2,8 +2,8 @@
 
 #include "libs/base/controllink.h"
 #include "libs/base/periodictimer.h"
-#include "libs/base/randomsource.h"
 #include "plugins/account/decisionrecord.h"
+#include "plugins/account/lostrecords.h"
 #include "plugins/membership/memberdirectory.h"
 
 #include <functional>
@@ -15,26 +15,17 @@
 
 struct decision_log_settings {
     std::string node;
+    /// When this run began; records of earlier runs are lost.
+    wall_time started{};
     std::size_t max_bytes = 16'777'216;
-    /// Refusals at the entry are copied to a peer in batches of at most this age and size.
+    /// Refusals at the entry are copied to a peer in batches of at most this age and size. Under overload they are more
+    /// than control traffic may carry; what is not copied is named in the batch.
     duration copy_period{std::chrono::seconds(1)};
-    std::size_t max_copy_bytes = 16'384;
+    std::size_t max_copy_bytes = 2'048;
     /// How long explain waits for other nodes.
     duration explain_timeout{std::chrono::seconds(3)};
 };
 
-/// Records of a node that are gone: all kinds between the times may be missing, `records` of them.
-struct lost_records {
-    std::string node;
-    wall_time from{};
-    wall_time until{};
-    std::uint64_t records = 0;
-    /// Whether refused, unknown or non-idempotent records are among them.
-    bool protected_lost = false;
-
-    bool operator==(const lost_records&) const = default;
-};
-
 /// The merged account of a request, ordered by hop, role and node. What is missing is named.
 struct explanation {
     std::vector<decision_record> records;
@@ -50,7 +41,7 @@
                  const member_directory& members);
     ~decision_log() override;
 
-    /// Adds a record; a refusal at the entry is also copied to a peer.
+    /// Adds a record; a refusal of a caller's request at the entry is also copied to a peer.
     void record(const decision_record& decision);
     /// The records that this node holds about a request, copies from peers included.
     std::vector<decision_record> find(std::string_view request_id) const;
