Add the control experiment

The targets for control traffic, memory and propagation need measurements on fleets that no test machine can run as processes. controlexperiment runs membership and configuration of a whole fleet in virtual time with the latencies of the design page, prints Markdown and marks each missed target.

--- /dev/null
+++ b/src/tools/controlexperiment/main.cpp
@@ -0,0 +1,396 @@
+#include "controlfleet.h"
+
+#include "libs/base/log.h"
+
+#include <algorithm>
+#include <cmath>
+#include <ctime>
+#include <fstream>
+#include <iostream>
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+namespace mulberry {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+// Targets of docs/design.md, per node.
+constexpr double max_bytes_per_second = 9'000;
+constexpr double max_core_share = 0.017;
+constexpr double max_memory_mb = 64;
+constexpr double max_change_seconds = 7;
+constexpr double max_withdrawal_seconds = 3;
+constexpr double max_leaving_seconds = 5;
+constexpr double max_refused_share = 0.01;
+
+/// What HTTP/2 and TLS add to a message on a kept connection: two frame headers, indexed header fields, two TLS
+/// records.
+constexpr double frame_bytes = 80;
+constexpr std::size_t service_documents = 20;
+constexpr std::size_t service_document_bytes = 4'000;
+constexpr std::size_t organisations_document_bytes = 64'000;
+/// 1,800 changes a day.
+constexpr seconds change_interval{48};
+
+struct channel_rates {
+    double bytes_mean = 0;
+    double bytes_max = 0;
+    double messages_mean = 0;
+};
+
+struct measures {
+    std::size_t nodes = 0;
+    std::uint64_t seed = 0;
+    std::optional<duration> join;
+    channel_rates membership_rates;
+    channel_rates configuration_rates;
+    channel_rates all;
+    channel_rates all_framed;
+    double core_share = 0;
+    double memory_mb = 0;
+    double store_calls_per_second = 0;
+    std::optional<duration> change;
+    std::optional<duration> withdrawal;
+    std::optional<duration> leaving;
+    std::optional<duration> cut_withdrawal;
+    double refused_in_cut_domain = 0;
+    double refused_elsewhere = 0;
+    std::optional<duration> merged;
+    double bytes_while_merging = 0;
+    double refused_while_store_down = 0;
+    double bytes_while_store_down = 0;
+};
+
+double resident_mb()
+{
+    std::ifstream statm("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    statm >> total >> resident;
+    constexpr double page_bytes = 4'096;
+    return resident * page_bytes / 1e6;
+}
+
+double processor_seconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+std::vector<control_network::traffic> snapshot(control_fleet& fleet)
+{
+    std::vector<control_network::traffic> sums;
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        sums.push_back(fleet.network().traffic_of(i));
+    return sums;
+}
+
+channel_rates rates(const std::vector<control_network::traffic>& before,
+                    const std::vector<control_network::traffic>& after, double interval_s,
+                    std::span<const control_channel> channels, double per_message)
+{
+    channel_rates result;
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        double bytes = 0;
+        double messages = 0;
+        for (const control_channel channel : channels) {
+            const auto index = static_cast<std::size_t>(channel);
+            const auto sent = static_cast<double>(after[i][index].messages - before[i][index].messages);
+            messages += sent;
+            bytes += static_cast<double>(after[i][index].bytes - before[i][index].bytes) + per_message * sent;
+        }
+        result.bytes_mean += bytes / interval_s / static_cast<double>(before.size());
+        result.bytes_max = std::max(result.bytes_max, bytes / interval_s);
+        result.messages_mean += messages / interval_s / static_cast<double>(before.size());
+    }
+    return result;
+}
+
+constexpr std::array both_channels{control_channel::membership, control_channel::configuration};
+
+class experiment {
+public:
+    experiment(std::size_t size, std::uint64_t seed, duration window)
+        : m_window(window), m_memory_before(resident_mb()), m_fleet(size, seed)
+    {
+        m_result.nodes = size;
+        m_result.seed = seed;
+    }
+
+    measures run()
+    {
+        join();
+        steady_state();
+        change_and_withdrawal();
+        leaving();
+        cut_off_domain();
+        store_outage();
+        return m_result;
+    }
+
+private:
+    void join()
+    {
+        m_result.join = m_fleet.time_until([&] { return m_fleet.all_know_all(); }, minutes(10));
+        m_fleet.timers().advance(seconds(15));
+        for (std::size_t i = 0; i < service_documents; ++i)
+            change_document(i);
+        m_fleet.write(0, std::string(organisations_document_key), std::string(organisations_document_bytes, 'k'));
+        m_fleet.timers().advance(seconds(45));
+    }
+
+    void change_document(std::size_t index)
+    {
+        m_fleet.write(index % m_fleet.domains(), service_document_key(fmt::format("service-{:03}", index)),
+                      std::string(service_document_bytes, static_cast<char>('a' + m_changes++ % 26)));
+    }
+
+    void steady_state()
+    {
+        const auto before = snapshot(m_fleet);
+        const std::uint64_t calls = m_fleet.store_calls();
+        const double processor = processor_seconds();
+        const time_point begin = m_fleet.timers().now();
+        for (duration passed{0}; passed < m_window; passed += change_interval) {
+            change_document(m_changes % service_documents);
+            m_fleet.timers().advance(std::min<duration>(change_interval, m_window - passed));
+        }
+        const double interval = to_seconds(m_fleet.timers().now() - begin);
+        const auto after = snapshot(m_fleet);
+        const auto nodes = static_cast<double>(m_fleet.size());
+        m_result.core_share = (processor_seconds() - processor) / interval / nodes;
+        m_result.memory_mb = (resident_mb() - m_memory_before) / nodes;
+        // An open watch counts as a call all the time.
+        m_result.store_calls_per_second = static_cast<double>(m_fleet.store_calls() - calls) / interval;
+        m_result.membership_rates = rates(before, after, interval, std::span(both_channels).first(1), 0);
+        m_result.configuration_rates = rates(before, after, interval, std::span(both_channels).last(1), 0);
+        m_result.all = rates(before, after, interval, both_channels, 0);
+        m_result.all_framed = rates(before, after, interval, both_channels, frame_bytes);
+    }
+
+    void change_and_withdrawal()
+    {
+        const auto relay = m_fleet.find_relay(1);
+        if (relay)
+            m_fleet.kill(*relay);
+        const std::string key = service_document_key("service-000");
+        const std::int64_t revision = m_fleet.write(0, key, "changed with a dead relay");
+        m_result.change = m_fleet.time_until([&] { return m_fleet.all_hold(key, revision); }, seconds(60));
+        const auto other = m_fleet.find_relay(2 % m_fleet.domains());
+        if (other)
+            m_fleet.kill(*other);
+        m_result.withdrawal = time_to_withdraw(0);
+        for (const auto& dead : {relay, other}) {
+            if (dead)
+                m_fleet.start(*dead);
+        }
+        m_fleet.time_until([&] { return m_fleet.all_know_all(); }, minutes(3));
+    }
+
+    std::optional<duration> time_to_withdraw(std::size_t domain)
+    {
+        const std::string key(organisations_document_key);
+        const std::int64_t revision = m_fleet.write(
+            domain, key, std::string(organisations_document_bytes, static_cast<char>('a' + m_changes++ % 26)));
+        if (revision == 0)
+            return std::nullopt;
+        return m_fleet.time_until([&] { return m_fleet.withdrawn_everywhere(key, revision); }, seconds(60));
+    }
+
+    void leaving()
+    {
+        m_fleet.network().set_loss(0.05);
+        m_fleet.set_store_faults({milliseconds(2), true, 0});
+        const std::size_t subject = m_fleet.size() - 1;
+        m_fleet.node(subject).members.set_own_state(member_state::leaving);
+        m_result.leaving =
+            m_fleet.time_until([&] { return m_fleet.known_as(subject, member_state::leaving); }, seconds(60));
+        m_fleet.network().set_loss(0);
+        m_fleet.set_store_faults({});
+        m_fleet.timers().advance(seconds(10));
+    }
+
+    /// Share of samples in which a node refuses keyed requests, inside and outside a domain.
+    std::pair<double, double> refused_shares(duration length, std::optional<std::size_t> domain)
+    {
+        std::array<double, 2> refused{};
+        std::array<double, 2> asked{};
+        for (duration passed{0}; passed < length; passed += milliseconds(250)) {
+            m_fleet.timers().advance(milliseconds(250));
+            for (std::size_t i = 0; i < m_fleet.size(); ++i) {
+                if (!m_fleet.running(i))
+                    continue;
+                const std::size_t group = domain && m_fleet.domain_of(i) == *domain ? 1 : 0;
+                asked[group] += 1;
+                refused[group] += m_fleet.node(i).relay.keyed_requests_allowed() ? 0 : 1;
+            }
+        }
+        return {refused[0] / std::max(asked[0], 1.0), refused[1] / std::max(asked[1], 1.0)};
+    }
+
+    void cut_off_domain()
+    {
+        constexpr std::size_t domain = 1;
+        m_fleet.network().cut(static_cast<int>(domain));
+        m_fleet.set_store_faults({milliseconds(2), true, 0}, domain);
+        m_result.cut_withdrawal = time_to_withdraw(0);
+        std::tie(m_result.refused_elsewhere, m_result.refused_in_cut_domain) = refused_shares(minutes(2), domain);
+        m_fleet.network().cut(-1);
+        m_fleet.set_store_faults({}, domain);
+        const auto before = snapshot(m_fleet);
+        const time_point begin = m_fleet.timers().now();
+        m_result.merged = m_fleet.time_until([&] { return m_fleet.all_know_all(); }, minutes(10));
+        const double interval = to_seconds(m_fleet.timers().now() - begin);
+        m_result.bytes_while_merging = rates(before, snapshot(m_fleet), interval, both_channels, 0).bytes_mean;
+        m_fleet.timers().advance(seconds(30));
+    }
+
+    void store_outage()
+    {
+        m_fleet.set_store_faults({milliseconds(2), true, 0});
+        const auto before = snapshot(m_fleet);
+        const duration length = minutes(2);
+        m_result.refused_while_store_down = refused_shares(length, std::nullopt).first;
+        m_result.bytes_while_store_down =
+            rates(before, snapshot(m_fleet), to_seconds(length), both_channels, 0).bytes_max;
+        m_fleet.set_store_faults({});
+    }
+
+    duration m_window;
+    double m_memory_before = 0;
+    control_fleet m_fleet;
+    measures m_result;
+    std::size_t m_changes = 0;
+};
+
+std::string judged(double value, double target, const char* format)
+{
+    return fmt::format(fmt::runtime(format), value) + (value > target ? " MISS" : "");
+}
+
+std::string judged(const std::optional<duration>& value, double target_s)
+{
+    if (!value)
+        return "never MISS";
+    return judged(to_seconds(*value), target_s, "{:.2f}");
+}
+
+void print_header(std::string_view title, std::initializer_list<std::string_view> columns)
+{
+    std::cout << "\n### " << title << "\n\n| " << fmt::format("{}", fmt::join(columns, " | ")) << " |\n|";
+    for (std::size_t i = 0; i < columns.size(); ++i)
+        std::cout << "---|";
+    std::cout << "\n";
+}
+
+void print(const std::vector<measures>& all)
+{
+    print_header("Steady state, per node (payload; bytes sent and received)",
+                 {"nodes", "seed", "all start to all known s", "membership B/s", "configuration B/s", "both B/s",
+                  "busiest node B/s", "busiest node with framing B/s", "messages/s", "core share (with simulator)",
+                  "memory MB", "store calls/s (fleet)"});
+    for (const measures& each : all) {
+        std::cout << fmt::format("| {} | {} | {} | {:.0f} | {:.0f} | {} | {} | {} | {:.1f} | {} | {} | {:.1f} |\n",
+                                 each.nodes, each.seed, judged(each.join, 600), each.membership_rates.bytes_mean,
+                                 each.configuration_rates.bytes_mean,
+                                 judged(each.all.bytes_mean, max_bytes_per_second, "{:.0f}"),
+                                 judged(each.all.bytes_max, max_bytes_per_second, "{:.0f}"),
+                                 judged(each.all_framed.bytes_max, max_bytes_per_second, "{:.0f}"),
+                                 each.all.messages_mean, judged(each.core_share, max_core_share, "{:.4f}"),
+                                 judged(each.memory_mb, max_memory_mb, "{:.2f}"), each.store_calls_per_second);
+    }
+    print_header("Propagation (s)", {"nodes", "seed", "change in force, relay dead", "withdrawal, relay dead",
+                                     "leaving known, 5% loss, store down", "withdrawal with a domain cut off"});
+    for (const measures& each : all) {
+        std::cout << fmt::format(
+            "| {} | {} | {} | {} | {} | {} |\n", each.nodes, each.seed, judged(each.change, max_change_seconds),
+            judged(each.withdrawal, max_withdrawal_seconds), judged(each.leaving, max_leaving_seconds),
+            judged(each.cut_withdrawal, max_withdrawal_seconds));
+    }
+    print_header("Faults",
+                 {"nodes", "seed", "keyed refused in cut domain", "keyed refused elsewhere", "merged after the cut s",
+                  "B/s while merging", "keyed refused, store down", "busiest node B/s, store down"});
+    for (const measures& each : all) {
+        std::cout << fmt::format("| {} | {} | {:.3f} | {} | {} | {} | {} | {} |\n", each.nodes, each.seed,
+                                 each.refused_in_cut_domain,
+                                 judged(each.refused_elsewhere, max_refused_share, "{:.4f}"), judged(each.merged, 120),
+                                 judged(each.bytes_while_merging, max_bytes_per_second, "{:.0f}"),
+                                 judged(each.refused_while_store_down, max_refused_share, "{:.4f}"),
+                                 judged(each.bytes_while_store_down, max_bytes_per_second, "{:.0f}"));
+    }
+}
+
+void print_slope(const std::vector<measures>& all)
+{
+    double sum_x = 0;
+    double sum_y = 0;
+    double sum_m = 0;
+    double sum_xx = 0;
+    double sum_xy = 0;
+    double sum_xm = 0;
+    const auto count = static_cast<double>(all.size());
+    for (const measures& each : all) {
+        const auto x = static_cast<double>(each.nodes);
+        sum_x += x;
+        sum_y += each.all.bytes_mean;
+        sum_m += each.memory_mb;
+        sum_xx += x * x;
+        sum_xy += x * each.all.bytes_mean;
+        sum_xm += x * each.memory_mb;
+    }
+    const double spread = sum_xx - sum_x * sum_x / count;
+    if (spread <= 0)
+        return;
+    std::cout << fmt::format("\nSlope per 100 nodes: {:.1f} B/s, {:.3f} MB per node.\n",
+                             100 * (sum_xy - sum_x * sum_y / count) / spread,
+                             100 * (sum_xm - sum_x * sum_m / count) / spread);
+}
+
+int run(int argc, char** argv)
+{
+    namespace options = boost::program_options;
+    std::vector<std::size_t> sizes;
+    std::vector<std::uint64_t> seeds;
+    int window_s = 0;
+    options::options_description description("Measures the control plane in virtual time and prints Markdown");
+    description.add_options()("help", "print this text")(
+        "sizes", options::value(&sizes)->multitoken()->default_value({4, 24, 100, 400, 1400}, "4 24 100 400 1400"),
+        "numbers of nodes")("seeds", options::value(&seeds)->multitoken()->default_value({1, 2, 3}, "1 2 3"), "seeds")(
+        "window", options::value(&window_s)->default_value(120), "seconds of steady state to measure");
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, description), values);
+    options::notify(values);
+    if (values.contains("help")) {
+        std::cout << description;
+        return 0;
+    }
+    set_log_level(log_level::error);
+    std::vector<measures> all;
+    for (const std::size_t size : sizes) {
+        for (const std::uint64_t seed : seeds)
+            all.push_back(experiment(size, seed, seconds(window_s)).run());
+    }
+    print(all);
+    print_slope(all);
+    return 0;
+}
+
+} // namespace
+
+} // namespace mulberry
+
+int main(int argc, char** argv)
+{
+    try {
+        return mulberry::run(argc, argv);
+    }
+    catch (const boost::program_options::error& error) {
+        std::cerr << "controlexperiment: " << error.what() << "\n";
+        return 2;
+    }
+}
