Weigh refusals more in routing, open the entry faster the longer nothing is shed

Cause: a guard shed while others of its region had free slots, because a refusal cost a sender 50 ms in its comparison; the entry opened too slowly after a stall. Change: a refusal costs 0.5 s and moves the share by 10%; the growth of the admitted part is taken to the power of the intervals without shedding.

--- a/src/plugins/routing/upstreamobservation.cpp
+++ b/src/plugins/routing/upstreamobservation.cpp
@@ -12,9 +12,9 @@
 /// Weight below which a latency is too old to be used; the upstream is then tried again.
 constexpr double least_weight = 0.01;
 /// Part by which one decision moves the share of refusals.
-constexpr double refusal_gain = 0.05;
+constexpr double refusal_gain = 0.1;
 /// What a refusal costs compared with an answer: the attempt and the delay before the next one.
-constexpr double refusal_cost_us = 50'000;
+constexpr double refusal_cost_us = 500000;
 
 } // namespace
 
--- a/src/plugins/throttle/entrythrottle.cpp
+++ b/src/plugins/throttle/entrythrottle.cpp
@@ -11,8 +11,6 @@
 constexpr double unshed_share = 0.98;
 /// Smallest factor of one adjustment, because a report may describe a short peak.
 constexpr double steepest_fall = 0.5;
-/// Below this utilisation of the whole call chain the part grows by the square of the usual growth.
-constexpr double low_utilisation = 0.7;
 
 } // namespace
 
@@ -59,20 +57,23 @@
     const double intervals = std::floor(to_seconds(now - current.adjusted) / to_seconds(m_settings.interval));
     current.adjusted = now;
     double answers = 0;
-    bool idle = true;
-    for (const auto& [name, view] : current.reports) {
+    for (const auto& [name, view] : current.reports)
         answers += view.answers;
-        idle = idle && view.report.utilisation < low_utilisation;
-    }
-    const double steps = answers > 0 ? (idle ? 2 : 1) : intervals;
     for (const importance level : all_importances) {
         double& part = current.part[static_cast<std::size_t>(level)];
         double share = 0;
         for (const auto& [name, view] : current.reports)
             share += view.answers * static_cast<double>(admitted_share_of(view.report, level));
-        const bool shed = share < unshed_share * answers;
-        part *= shed ? std::clamp(share / answers * m_settings.headroom, steepest_fall, m_settings.growth)
-                     : std::pow(m_settings.growth, steps);
+        int& unshed = current.unshed[static_cast<std::size_t>(level)];
+        if (share < unshed_share * answers) {
+            unshed = 0;
+            part *= std::clamp(share / answers * m_settings.headroom, steepest_fall, m_settings.growth);
+        }
+        else {
+            ++unshed;
+            const double factor = std::min(std::pow(m_settings.growth, unshed), m_settings.fastest_growth);
+            part *= std::pow(factor, answers > 0 ? 1 : intervals);
+        }
         part = std::clamp(part, m_settings.floor, 1.0);
     }
     current.reports.clear();
--- a/src/plugins/throttle/entrythrottle.h
+++ b/src/plugins/throttle/entrythrottle.h
@@ -19,8 +19,10 @@
     duration interval{100'000};
     /// Demand let through over what the guards admit, so that spare capacity is found and used.
     double headroom = 1.05;
-    /// Growth of the admitted part per interval while the reports show no shedding or there are none.
+    /// Growth of the admitted part in the first interval without shedding or reports. It is taken to the second, third
+    /// and higher powers in the next ones, up to fastest_growth.
     double growth = 1.25;
+    double fastest_growth = 2;
     /// Least admitted part; requests that probe an overloaded service.
     double floor = 0.01;
     /// Retry-After of a refusal; the jitter makes it 0.5 to 1.5 times this.
@@ -51,6 +53,8 @@
     };
     struct state {
         std::array<double, all_importances.size()> part{1, 1, 1, 1};
+        /// Adjustments in a row without shedding.
+        std::array<int, all_importances.size()> unshed{};
         std::map<std::string, upstream_view, std::less<>> reports;
         time_point adjusted;
     };
