Let the entry grow towards a target utilisation

Change: without shedding the admitted part is scaled by 0.95 / utilisation of the busiest hop, within 1.05 and 4 per 300 ms; a lowered limit keeps a quarter of the slots.

--- a/src/plugins/admission/concurrencylimiter.cpp
+++ b/src/plugins/admission/concurrencylimiter.cpp
@@ -27,7 +27,7 @@
 /// Share of requests in a window that may time out for reasons other than load.
 constexpr double tolerated_timeouts = 0.1;
 /// The limit stays above this part of the slots; from a lower one the growth back took longer than the recovery target.
-constexpr double lowest_part = 0.125;
+constexpr double lowest_part = 0.25;
 constexpr double estimate_half_life_s = 1;
 
 } // namespace
--- a/src/plugins/throttle/entrythrottle.cpp
+++ b/src/plugins/throttle/entrythrottle.cpp
@@ -57,23 +57,23 @@
     const double intervals = std::floor(to_seconds(now - current.adjusted) / to_seconds(m_settings.interval));
     current.adjusted = now;
     double answers = 0;
-    for (const auto& [name, view] : current.reports)
+    double utilisation = 0;
+    for (const auto& [name, view] : current.reports) {
         answers += view.answers;
+        utilisation += view.answers * static_cast<double>(view.report.utilisation);
+    }
+    double growth = std::pow(m_settings.slowest_growth, intervals);
+    if (answers > 0) {
+        growth = std::clamp(m_settings.target_utilisation * answers / std::max(utilisation, 1e-3),
+                            m_settings.slowest_growth, m_settings.fastest_growth);
+    }
     for (const importance level : all_importances) {
-        double& part = current.part[static_cast<std::size_t>(level)];
         double share = 0;
         for (const auto& [name, view] : current.reports)
             share += view.answers * static_cast<double>(admitted_share_of(view.report, level));
-        int& unshed = current.unshed[static_cast<std::size_t>(level)];
-        if (share < unshed_share * answers) {
-            unshed = 0;
-            part *= std::clamp(share / answers * m_settings.headroom, steepest_fall, m_settings.growth);
-        }
-        else {
-            ++unshed;
-            const double factor = std::min(std::pow(m_settings.growth, unshed), m_settings.fastest_growth);
-            part *= std::pow(factor, answers > 0 ? 1 : intervals);
-        }
+        const bool shed = share < unshed_share * answers;
+        double& part = current.part[static_cast<std::size_t>(level)];
+        part *= shed ? std::clamp(share / answers * m_settings.headroom, steepest_fall, 1.0) : growth;
         part = std::clamp(part, m_settings.floor, 1.0);
     }
     current.reports.clear();
--- a/src/plugins/throttle/entrythrottle.h
+++ b/src/plugins/throttle/entrythrottle.h
@@ -16,13 +16,14 @@
 
 struct throttle_settings {
     /// How often the admitted part is adjusted; longer than an answer takes to show the effect of a change.
-    duration interval{100'000};
+    duration interval{300'000};
     /// Demand let through over what the guards admit, so that spare capacity is found and used.
     double headroom = 1.05;
-    /// Growth of the admitted part in the first interval without shedding or reports. It is taken to the second, third
-    /// and higher powers in the next ones, up to fastest_growth.
-    double growth = 1.25;
-    double fastest_growth = 2;
+    /// While nothing is shed, the admitted part grows towards this utilisation of the busiest hop.
+    double target_utilisation = 0.95;
+    /// Bounds of the growth per interval; without reports the lower bound applies.
+    double slowest_growth = 1.05;
+    double fastest_growth = 4;
     /// Least admitted part; requests that probe an overloaded service.
     double floor = 0.01;
     /// Retry-After of a refusal; the jitter makes it 0.5 to 1.5 times this.
@@ -53,8 +54,6 @@
     };
     struct state {
         std::array<double, all_importances.size()> part{1, 1, 1, 1};
-        /// Adjustments in a row without shedding.
-        std::array<int, all_importances.size()> unshed{};
         std::map<std::string, upstream_view, std::less<>> reports;
         time_point adjusted;
     };
