Let nodes borrow from other domains and keep small shares with the keeper

Cause: small buckets at nodes were often full and lost what arrived, and a small burst divided among domains refused requests while another domain had tokens. Change: nodes hold rate only with a bucket of at least 8 requests, others borrow single tokens; a node whose own keeper denies a token asks the keepers of the other domains, if the load of all domains fits the rate. Borrowing uses the same sessions, totals and leases. A denied request is refused at once when nothing can come in time.

--- a/src/plugins/shares/shareclient.cpp
+++ b/src/plugins/shares/shareclient.cpp
@@ -34,12 +34,9 @@
 } // namespace
 
 share_client::share_client(const share_settings& settings, std::uint32_t group, timer_service& timers,
-                           random_source& random, client_owner& owner)
-    : m_settings(settings), m_group(group), m_timers(timers), m_random(random), m_owner(owner),
-      m_reports(timers, settings.report_interval, [this] {
-          expire();
-          report_all();
-      })
+                           random_source& random, client_owner& owner, bool foreign)
+    : m_settings(settings), m_group(group), m_timers(timers), m_random(random), m_owner(owner), m_foreign(foreign),
+      m_reports(timers, settings.report_interval, [this] { report_if_due(); })
 {
 }
 
@@ -71,39 +68,57 @@
 
 // Admission --------------------------------------------------------------------------------------------------------
 
-void share_client::admit(std::string_view organisation_name, admit_callback done)
+bool share_client::try_admit(std::string_view organisation_name)
 {
-    if (m_draining)
-        return done(not_run(refusal_reason::draining));
     expire();
     const auto found = m_organisations.find(organisation_name);
-    if (found == m_organisations.end())
-        return done(not_run(refusal_reason::rate_exceeded, longest_retry_after));
+    if (found == m_organisations.end() || m_draining)
+        return false;
     organisation& state = found->second;
     const time_point now = m_timers.now();
-    state.demand.add(now);
+    if (!m_foreign)
+        state.demand.add(now);
+    if (!state.waiters.empty() || !lease_valid())
+        return false;
     state.bucket.advance(now);
-    if (!state.waiters.empty() || !lease_valid() || !state.bucket.take(one_token))
-        return wait(*found, std::move(done));
+    if (!state.bucket.take(one_token))
+        return false;
     ++state.admitted;
     trim(state, false);
     ask_ahead(*found);
-    done(std::nullopt);
+    return true;
 }
 
-void share_client::wait(organisation_map::value_type& entry, admit_callback done)
+void share_client::wait(std::string_view organisation_name, duration longest, admit_callback done)
 {
-    organisation& state = entry.second;
+    if (m_draining)
+        return done(not_run(refusal_reason::draining));
+    const auto found = m_organisations.find(organisation_name);
+    if (found == m_organisations.end())
+        return done(not_run(refusal_reason::rate_exceeded, longest_retry_after));
+    organisation& state = found->second;
     const time_point now = m_timers.now();
     const auto queued = static_cast<micro_tokens>(state.waiters.size()) + 1;
     const duration local = lease_valid() ? state.bucket.time_until(queued * one_token) : duration::max();
-    const bool hopeless = local > m_settings.grant_wait && now < state.denied_until;
+    const bool hopeless = local > longest && now < state.denied_until;
     if (hopeless || state.bucket.limits().rate == 0 || state.waiters.size() >= max_waiters)
         return refuse(state, done);
-    state.waiters.push_back({now + m_settings.grant_wait, std::move(done)});
+    state.waiters.push_back({now + longest, std::move(done)});
     if (local > m_settings.grant_wait / 4)
-        ask(entry, ask_gap);
-    arm(entry);
+        ask(*found, ask_gap);
+    arm(*found);
+}
+
+bool share_client::can_ask(std::string_view organisation_name) const
+{
+    const auto found = m_organisations.find(organisation_name);
+    return found != m_organisations.end() && !m_keeper.empty() && m_timers.now() >= found->second.denied_until;
+}
+
+bool share_client::may_borrow(std::string_view organisation_name) const
+{
+    const auto found = m_organisations.find(organisation_name);
+    return found != m_organisations.end() && found->second.may_borrow;
 }
 
 void share_client::serve(organisation_map::value_type& entry)
@@ -113,7 +128,7 @@
     state.bucket.advance(m_timers.now());
     while (!state.waiters.empty()) {
         const bool served = lease_valid() && state.bucket.take(one_token);
-        if (!served && m_timers.now() < state.waiters.front().deadline)
+        if (!served && !is_hopeless(state))
             break;
         const admit_callback done = std::move(state.waiters.front().done);
         state.waiters.pop_front();
@@ -133,6 +148,16 @@
     arm(entry);
 }
 
+/// The first waiter's time is over, or the keeper has denied a token for longer and none arrives here.
+bool share_client::is_hopeless(const organisation& state) const
+{
+    const time_point now = m_timers.now();
+    const time_point deadline = state.waiters.front().deadline;
+    if (now >= deadline)
+        return true;
+    return state.denied_until >= deadline && (!lease_valid() || state.bucket.time_until(one_token) > deadline - now);
+}
+
 void share_client::arm(organisation_map::value_type& entry)
 {
     organisation& state = entry.second;
@@ -208,6 +233,7 @@
     report.set_incarnation(m_settings.node.incarnation);
     report.set_session(m_session);
     report.set_opening(m_opening);
+    report.set_foreign(m_foreign);
     return report;
 }
 
@@ -215,6 +241,7 @@
 {
     const std::uint64_t number = ++m_last_request;
     report.set_request(number);
+    report.set_periodic(periodic);
     m_requests[number] = {m_timers.now(), periodic};
     if (m_requests.size() > max_requests)
         m_requests.erase(m_requests.begin());
@@ -250,6 +277,21 @@
     line.set_room(state.bucket.capacity() - level);
 }
 
+bool share_client::holds_anything() const
+{
+    return std::ranges::any_of(m_organisations, [](const auto& entry) {
+        return entry.second.bucket.rate_parts() > 0 || entry.second.bucket.capacity_parts() > 0;
+    });
+}
+
+/// A foreign client reports only while the keeper counts something as lent to it.
+void share_client::report_if_due()
+{
+    expire();
+    if (!m_foreign || holds_anything() || m_return_request != 0)
+        report_all();
+}
+
 /// Reports everything and returns the number of the request, 0 if there is no keeper.
 std::uint64_t share_client::report_all()
 {
@@ -261,7 +303,7 @@
         organisation& state = entry.second;
         const bool has_totals = has_parts(state.adopted) || has_parts(state.granted);
         const bool has_load = state.reported_demand > 0 || state.demand.rate(m_timers.now()) > 0;
-        if (has_totals || has_load)
+        if (has_totals || has_load || !state.waiters.empty())
             add_line(report, entry);
     }
     const std::uint64_t number = number_request(report, true);
@@ -319,6 +361,7 @@
     m_opening = true;
     m_requests.clear();
     m_adopted_request = m_last_request;
+    m_return_request = 0;
     for (auto& [name, state] : m_organisations) {
         state.adopted = {state.bucket.rate_parts(), state.bucket.capacity_parts(), 0};
         state.granted = {};
@@ -364,7 +407,8 @@
     start_session();
     if (m_leased)
         limit_lease(m_lease_end);
-    report_all();
+    if (!m_foreign || holds_anything())
+        report_all();
 }
 
 void share_client::take_over(const share_map& remaining, time_point end)
@@ -403,6 +447,9 @@
         const time_point sent_at = sent->second.sent_at;
         periodic = sent->second.periodic;
         m_heard = m_timers.now();
+        m_round_trip = m_round_trip == duration{0} ? m_heard - sent_at : std::min(m_round_trip, m_heard - sent_at);
+        if (periodic && grant.request() >= m_return_request)
+            m_return_request = 0;
         const duration lease = std::clamp(duration{grant.lease()}, duration{0}, m_settings.grant_lease);
         if (sent_at + lease <= m_timers.now())
             return;
@@ -422,6 +469,8 @@
             serve(*found);
         }
     }
+    if (!m_foreign && grant.others_size() > 0)
+        m_owner.on_keepers_listed(grant);
     if (m_drained && grant.request() >= m_drain_request)
         std::exchange(m_drained, nullptr)();
 }
@@ -442,6 +491,7 @@
                     std::clamp(line.target_capacity(), parts{0}, whole), 0};
     state.denied_until = now + std::clamp(duration{line.denied()}, duration{0}, longest_denial);
     state.asked_until = {};
+    state.may_borrow = line.may_borrow();
     if (added.level == 0)
         state.ahead_after = now + ahead_pause;
     return true;
@@ -476,6 +526,7 @@
     const micro_tokens spare = std::max(state.bucket.level() - stays, micro_tokens{0});
     state.returned += state.bucket.split({excess.rate, excess.capacity, spare});
     state.unreported = true;
+    m_return_request = m_last_request + 1;
     schedule_returns();
 }
 
--- a/src/plugins/shares/shareclient.h
+++ b/src/plugins/shares/shareclient.h
@@ -29,6 +29,8 @@
     virtual ~client_owner() = default;
 
     virtual void send(std::string_view to, const messages::envelope& message) = 0;
+    /// The own domain's keeper has named those of the other domains.
+    virtual void on_keepers_listed(const messages::grant& grant) = 0;
 };
 
 /// A node's grants in one group of organisations. All holdings belong to one session with one keeper and end together
@@ -37,15 +39,25 @@
 public:
     using admit_callback = std::function<void(std::optional<refusal>)>;
 
+    /// A foreign client borrows from the keeper of another failure domain: it reports no load and keeps nothing.
     share_client(const share_settings& settings, std::uint32_t group, timer_service& timers, random_source& random,
-                 client_owner& owner);
+                 client_owner& owner, bool foreign);
     ~share_client();
     share_client(const share_client&) = delete;
     share_client& operator=(const share_client&) = delete;
 
     void set_limits(std::string_view organisation, figure limits);
     void remove_limits(std::string_view organisation);
-    void admit(std::string_view organisation, admit_callback done);
+    /// Takes a token that is there.
+    bool try_admit(std::string_view organisation);
+    /// Asks for a token and waits for it up to the time given. Follows a try_admit that found none.
+    void wait(std::string_view organisation, duration longest, admit_callback done);
+    /// Whether the keeper may have a token: it is known and did not deny one just now.
+    bool can_ask(std::string_view organisation) const;
+    /// Whether the keeper said, at its last denial, that other domains may have tokens.
+    bool may_borrow(std::string_view organisation) const;
+    /// Shortest time to an answer of the keeper; zero before the first.
+    duration round_trip() const { return m_round_trip; }
 
     /// Hands the holdings over to the keeper of a higher epoch. An empty name leaves the client without a keeper.
     void set_keeper(const std::string& name, std::uint64_t epoch);
@@ -82,6 +94,7 @@
         time_point asked_until{};
         time_point denied_until{};
         time_point ahead_after{};
+        bool may_borrow = false;
         /// Something was returned that the keeper has not been told of.
         bool unreported = false;
         std::uint64_t admitted = 0;
@@ -102,8 +115,8 @@
     void limit_lease(time_point end);
     void extend_lease(time_point end);
 
-    void wait(organisation_map::value_type& entry, admit_callback done);
     void serve(organisation_map::value_type& entry);
+    bool is_hopeless(const organisation& state) const;
     void arm(organisation_map::value_type& entry);
     void refuse(organisation& state, const admit_callback& done);
     duration retry_after(const organisation& state);
@@ -121,6 +134,8 @@
     void trim(organisation& state, bool idle);
     void return_share(organisation& state, const share& excess);
     void drain_step();
+    bool holds_anything() const;
+    void report_if_due();
 
     const share_settings& m_settings;
     std::uint32_t m_group;
@@ -142,6 +157,10 @@
     std::uint64_t m_last_request = 0;
     std::map<std::uint64_t, request> m_requests;
     timer_id m_returns_timer = 0;
+    bool m_foreign;
+    duration m_round_trip{0};
+    /// An answer to this full report or a later one shows that the keeper knows of all returns; 0 if it does.
+    std::uint64_t m_return_request = 0;
     bool m_draining = false;
     std::function<void()> m_drained;
     /// An answer to this request or a later one shows that the keeper has everything.
--- a/src/plugins/shares/sharegroup.cpp
+++ b/src/plugins/shares/sharegroup.cpp
@@ -2,6 +2,8 @@
 
 #include "libs/base/log.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace mulberry::shares {
@@ -23,7 +25,8 @@
 share_group::share_group(const share_settings& settings, std::uint32_t number, timer_service& timers,
                          random_source& random, control_link& link, key_value_store& store)
     : m_settings(settings), m_timers(timers), m_random(random), m_link(link), m_alive(std::make_shared<bool>(true)),
-      m_client(settings, number, timers, random, *this), m_keeper(settings, number, timers, random, store, *this),
+      m_number(number), m_client(settings, number, timers, random, *this, false),
+      m_keeper(settings, number, timers, random, store, *this),
       m_watch(timers, watch_interval, [this] { watch_keeper(); })
 {
     const auto bound = static_cast<std::uint64_t>(start_spread.count());
@@ -42,13 +45,19 @@
 
 void share_group::set_limits(std::string_view organisation, figure limits)
 {
+    m_limits.insert_or_assign(std::string(organisation), limits);
     m_client.set_limits(organisation, limits);
+    for (const auto& [domain, client] : m_foreign)
+        client->set_limits(organisation, limits);
     m_keeper.set_limits(organisation, limits);
 }
 
 void share_group::remove_limits(std::string_view organisation)
 {
+    m_limits.erase(std::string(organisation));
     m_client.remove_limits(organisation);
+    for (const auto& [domain, client] : m_foreign)
+        client->remove_limits(organisation);
     m_keeper.set_limits(organisation, {});
 }
 
@@ -67,7 +76,7 @@
     case messages::envelope::kReport:
         return m_keeper.on_report(from, message.report());
     case messages::envelope::kGrant:
-        return m_client.on_grant(from, message.grant());
+        return client_of(from).on_grant(from, message.grant());
     case messages::envelope::kKeeperChange:
         return on_keeper_change(message.keeper_change());
     case messages::envelope::BODY_NOT_SET:
@@ -76,10 +85,98 @@
     }
 }
 
+// Admission --------------------------------------------------------------------------------------------------------
+
+void share_group::admit(std::string_view organisation, share_client::admit_callback done)
+{
+    if (m_client.try_admit(organisation) || take_borrowed(organisation))
+        return done(std::nullopt);
+    const time_point deadline = m_timers.now() + m_settings.grant_wait;
+    m_client.wait(organisation, m_settings.grant_wait,
+                  [this, name = std::string(organisation), deadline,
+                   done = std::move(done)](std::optional<refusal> refused) mutable {
+                      if (!refused || !m_client.may_borrow(name))
+                          return done(refused);
+                      borrow({std::move(name), std::move(done), *refused, deadline, {}});
+                  });
+}
+
+/// Uses a borrowed token that came too late for its request.
+bool share_group::take_borrowed(std::string_view organisation)
+{
+    return std::ranges::any_of(m_foreign,
+                               [organisation](const auto& entry) { return entry.second->try_admit(organisation); });
+}
+
+/// Asks the keepers of the other domains, the nearest first, until one lends a token or the time is over.
+void share_group::borrow(borrower request)
+{
+    const duration left = request.deadline - m_timers.now();
+    share_client* nearest = nullptr;
+    std::string domain_name;
+    for (const auto& [domain, client] : m_foreign) {
+        const bool asked = std::ranges::find(request.asked, domain) != request.asked.end();
+        if (asked || !client->can_ask(request.organisation))
+            continue;
+        if (nearest != nullptr && nearest->round_trip() <= client->round_trip())
+            continue;
+        nearest = client.get();
+        domain_name = domain;
+    }
+    if (nearest == nullptr || left <= duration{0} || m_stopping)
+        return request.done(request.refused);
+    request.asked.push_back(domain_name);
+    const std::string name = request.organisation;
+    nearest->wait(name, left, [this, request = std::move(request)](const std::optional<refusal>& refused) mutable {
+        if (!refused) {
+            ++m_rescued[request.organisation];
+            return request.done(std::nullopt);
+        }
+        borrow(std::move(request));
+    });
+}
+
+share_client& share_group::foreign_client(const std::string& domain)
+{
+    std::unique_ptr<share_client>& client = m_foreign[domain];
+    if (client)
+        return *client;
+    client = std::make_unique<share_client>(m_settings, m_number, m_timers, m_random, *this, true);
+    for (const auto& [organisation, limits] : m_limits)
+        client->set_limits(organisation, limits);
+    return *client;
+}
+
+/// The client whose keeper this is; the own domain's if there is none.
+share_client& share_group::client_of(std::string_view keeper)
+{
+    for (const auto& [domain, client] : m_foreign) {
+        if (client->keeper() == keeper)
+            return *client;
+    }
+    return m_client;
+}
+
+void share_group::on_keepers_listed(const messages::grant& grant)
+{
+    const std::vector<std::string> listed = m_settings.failure_domains();
+    for (const messages::named_keeper& named : grant.others()) {
+        const bool known = std::ranges::find(listed, named.domain()) != listed.end();
+        if (known && named.domain() != m_settings.failure_domain && named.keeper() != m_settings.node.name)
+            foreign_client(named.domain()).set_keeper(named.keeper(), named.epoch());
+    }
+}
+
 // Keeper -----------------------------------------------------------------------------------------------------------
 
 void share_group::on_keeper_change(const messages::keeper_change& change)
 {
+    if (change.domain() != m_settings.failure_domain) {
+        const auto found = m_foreign.find(change.domain());
+        if (found != m_foreign.end())
+            found->second->set_keeper(change.keeper(), change.epoch());
+        return;
+    }
     if (m_keeper.active() || change.epoch() < m_client.epoch() || change.keeper() == m_settings.node.name)
         return;
     if (change.keeper().empty())
@@ -141,6 +238,8 @@
     m_stopping = true;
     m_drained = std::move(done);
     schedule(m_settings.drain_limit, [this] { finish_drain(); });
+    for (const auto& [domain, client] : m_foreign)
+        client->drain([] {});
     m_client.drain([this] { m_keeper.resign(); });
 }
 
@@ -157,7 +256,23 @@
 
 void share_group::add_status(share_status& status) const
 {
-    std::ranges::move(m_client.status(), std::back_inserter(status.organisations));
+    std::vector<organisation_status> all = m_client.status();
+    for (organisation_status& entry : all) {
+        if (const auto found = m_rescued.find(entry.organisation); found != m_rescued.end())
+            entry.refused -= found->second;
+    }
+    for (const auto& [domain, client] : m_foreign) {
+        for (const organisation_status& borrowed : client->status()) {
+            const auto entry = std::ranges::find(all, borrowed.organisation, &organisation_status::organisation);
+            if (entry == all.end())
+                continue;
+            entry->held_rate += borrowed.held_rate;
+            entry->held_capacity += borrowed.held_capacity;
+            entry->level += borrowed.level;
+            entry->admitted += borrowed.admitted;
+        }
+    }
+    std::ranges::move(all, std::back_inserter(status.organisations));
     status.groups.push_back({m_client.keeper(), m_client.epoch(), m_keeper.active(), m_keeper.store_calls(), m_sent,
                              m_rejected, m_keeper.status()});
 }
--- a/src/plugins/shares/sharekeeper.cpp
+++ b/src/plugins/shares/sharekeeper.cpp
@@ -31,11 +31,13 @@
 constexpr std::int64_t granted_percent_overloaded = 97;
 /// Upper bound of a node's rate in percent of its load.
 constexpr std::int64_t rate_headroom_percent = 150;
-constexpr micro_tokens least_capacity = 2 * one_token;
+constexpr micro_tokens least_node_capacity = 8 * one_token;
 constexpr duration shortest_denial = std::chrono::milliseconds(2);
 constexpr duration longest_denial = std::chrono::milliseconds(100);
 /// Nodes of an organisation over its rate ask again after this time and jitter of the same length.
 constexpr duration overload_denial = std::chrono::milliseconds(200);
+/// Nodes of other domains are many and have other keepers to ask.
+constexpr duration foreign_denial = std::chrono::milliseconds(500);
 
 messages::pool_domain& domain_in(messages::pool_document& document, const std::string& name)
 {
@@ -635,9 +637,11 @@
     messages::envelope message;
     messages::grant& answer = *message.mutable_grant();
     for (const messages::report_line& line : report.lines())
-        answer_line(holder->current, line, answer);
+        answer_line(holder->current, line, report.foreign(), answer);
     if (report.request() == 0)
         return;
+    if (report.periodic() && !report.foreign())
+        list_keepers(answer);
     const time_point now = m_timers.now();
     const duration lease = std::min(m_settings.grant_lease, lease_within(m_lease_end - now));
     holder->current.until = std::max(holder->current.until, now + lease + drift_allowance(lease));
@@ -650,6 +654,18 @@
     m_owner.send(from, message);
 }
 
+void share_keeper::list_keepers(messages::grant& answer) const
+{
+    for (const messages::pool_domain& other : m_pool.document().domains()) {
+        if (other.name() == m_settings.failure_domain || other.keeper().empty())
+            continue;
+        messages::named_keeper& named = *answer.add_others();
+        named.set_domain(other.name());
+        named.set_keeper(other.keeper());
+        named.set_epoch(other.epoch());
+    }
+}
+
 void share_keeper::redirect(std::string_view to)
 {
     const messages::pool_domain* own = m_pool.domain(m_settings.failure_domain);
@@ -658,6 +674,7 @@
     messages::envelope message;
     messages::keeper_change& change = *message.mutable_keeper_change();
     change.set_group(m_group);
+    change.set_domain(m_settings.failure_domain);
     change.set_keeper(own->keeper());
     change.set_epoch(own->epoch());
     m_owner.send(to, message);
@@ -774,14 +791,14 @@
     const micro_tokens rate = std::min(scaled(usable_rate / 100 * percent, entry.demand, state.demand),
                                        entry.demand / 100 * rate_headroom_percent);
     const micro_tokens capacity = std::min(scaled(scaled(limits.burst, usable, whole) / 2, entry.demand, state.demand),
-                                           std::max(least_capacity, entry.demand));
-    // A bucket that cannot hold one token admits nothing.
-    if (capacity < one_token)
+                                           std::max(least_node_capacity, entry.demand));
+    // A small bucket is often full, and then loses what arrives; such a node borrows from the keeper instead.
+    if (capacity < least_node_capacity)
         return {};
     return {parts_for(rate, limits.rate), parts_for(capacity, limits.burst), 0};
 }
 
-void share_keeper::answer_line(session& lent, const messages::report_line& line, messages::grant& answer)
+void share_keeper::answer_line(session& lent, const messages::report_line& line, bool foreign, messages::grant& answer)
 {
     const auto known = m_kept.find(line.organisation());
     if (known == m_kept.end())
@@ -790,7 +807,7 @@
     state.free.advance(m_timers.now());
     account& entry = lent.accounts[line.organisation()];
     apply_returns(entry, state, line);
-    const micro_tokens demand = std::clamp(line.demand(), micro_tokens{0}, 10 * max_rate);
+    const micro_tokens demand = foreign ? 0 : std::clamp(line.demand(), micro_tokens{0}, 10 * max_rate);
     state.demand += demand - entry.demand;
     entry.demand = demand;
 
@@ -805,7 +822,7 @@
     if (given.capacity > 0)
         given.level = scaled(state.free.level(), given.capacity, state.free.capacity_parts());
     given = state.free.split(given);
-    const duration denied = line.wanted() > 0 ? grant_tokens(state, line, given) : duration{0};
+    const duration denied = line.wanted() > 0 ? grant_tokens(state, line, foreign, given) : duration{0};
     entry.granted += given;
     state.lent += given;
     check_sums(state);
@@ -816,6 +833,8 @@
     result.set_target_rate(target.rate);
     result.set_target_capacity(target.capacity);
     result.set_denied(denied.count());
+    if (denied > duration{0})
+        result.set_may_borrow(!foreign && !fleet_overloaded(line.organisation(), state));
 }
 
 void share_keeper::check_sums(const kept& state)
@@ -829,12 +848,12 @@
 
 /// Adds the tokens that a node asks for, and capacity for those that do not fit. Returns how long the node should not
 /// ask again, zero if it got what it needs.
-duration share_keeper::grant_tokens(kept& state, const messages::report_line& line, share& given)
+duration share_keeper::grant_tokens(kept& state, const messages::report_line& line, bool foreign, share& given)
 {
     const figure& limits = state.free.limits();
     const micro_tokens needed = std::clamp(line.needed(), micro_tokens{0}, max_burst);
     const micro_tokens wanted = std::clamp(line.wanted(), needed, max_burst);
-    const micro_tokens kept_back = needed > 0 ? 0 : state.free.capacity() / 4;
+    const micro_tokens kept_back = foreign ? state.free.capacity() / 2 : needed > 0 ? 0 : state.free.capacity() / 4;
     micro_tokens amount = std::min(wanted - given.level, std::max(state.free.level() - kept_back, micro_tokens{0}));
     const micro_tokens room =
         std::clamp(line.room(), micro_tokens{0}, max_burst) + scaled(limits.burst, given.capacity, whole) - given.level;
@@ -843,7 +862,7 @@
         lent = std::min(parts_for(amount - room, limits.burst), state.free.capacity_parts());
     amount = std::min(amount, room + scaled(limits.burst, lent, whole));
     if (amount + given.level < needed)
-        return denial(state, needed);
+        return foreign ? foreign_denial : denial(line.organisation(), state, needed);
     if (amount <= 0)
         return duration{0};
     state.free.take(amount);
@@ -852,10 +871,23 @@
     return duration{0};
 }
 
-duration share_keeper::denial(const kept& state, micro_tokens needed)
+/// Whether the load of all domains exceeds the rate, the others' as the pool document has it.
+bool share_keeper::fleet_overloaded(const std::string& name, const kept& state) const
 {
-    const micro_tokens usable_rate = scaled(state.free.limits().rate, state.usable(), whole);
-    if (state.demand <= usable_rate)
+    micro_tokens sum = state.demand;
+    for (const messages::pool_domain& other : m_pool.document().domains()) {
+        const messages::pool_entry* entry = entry_in(&other, name);
+        if (entry != nullptr && other.name() != m_settings.failure_domain)
+            sum += entry->demand();
+    }
+    // The estimate of a small load is off by more than a quarter at times; three requests a second cover that.
+    const micro_tokens rate = state.free.limits().rate;
+    return sum > rate + std::max(rate / 4, 3 * one_token);
+}
+
+duration share_keeper::denial(const std::string& name, const kept& state, micro_tokens needed)
+{
+    if (!fleet_overloaded(name, state))
         return std::clamp(state.free.time_until(needed), shortest_denial, longest_denial);
     const auto bound = static_cast<std::uint64_t>(overload_denial.count());
     return overload_denial + duration{static_cast<std::int64_t>(m_random.uniform(bound))};
--- a/src/plugins/shares/sharekeeper.h
+++ b/src/plugins/shares/sharekeeper.h
@@ -147,9 +147,11 @@
     static bool brings_more(const session& lent, const messages::report& report);
     bool adopt_lines(session& lent, const messages::report& report);
     static void apply_returns(account& entry, kept& state, const messages::report_line& line);
-    void answer_line(session& lent, const messages::report_line& line, messages::grant& answer);
-    duration grant_tokens(kept& state, const messages::report_line& line, share& given);
-    duration denial(const kept& state, micro_tokens needed);
+    void answer_line(session& lent, const messages::report_line& line, bool foreign, messages::grant& answer);
+    duration grant_tokens(kept& state, const messages::report_line& line, bool foreign, share& given);
+    bool fleet_overloaded(const std::string& name, const kept& state) const;
+    void list_keepers(messages::grant& answer) const;
+    duration denial(const std::string& name, const kept& state, micro_tokens needed);
     static void check_sums(const kept& state);
     void reject(std::string_view to, const messages::report& report);
     void redirect(std::string_view to);
--- a/src/plugins/shares/shareservice.cpp
+++ b/src/plugins/shares/shareservice.cpp
@@ -56,7 +56,7 @@
 
 void share_service::admit(std::string_view organisation, std::function<void(std::optional<refusal>)> done)
 {
-    group_of(organisation).client().admit(organisation, std::move(done));
+    group_of(organisation).admit(organisation, std::move(done));
 }
 
 void share_service::on_member_dead(std::string_view name)
--- a/src/tools/sharesexperiment/sharecluster.cpp
+++ b/src/tools/sharesexperiment/sharecluster.cpp
@@ -25,7 +25,7 @@
         std::string content(payload);
         if (m_cluster.m_tampering)
             content = m_cluster.m_tampering(std::move(content));
-        m_cluster.m_nodes[m_node].clock->schedule(duration{0},
+        m_cluster.m_nodes[m_node].clock->schedule(m_cluster.latency_between(std::string(from), m_node),
                                                   [this, sender = std::string(from), content = std::move(content)] {
                                                       if (m_cluster.running(m_node))
                                                           m_cluster.service(m_node).on_message(sender, content);
@@ -55,6 +55,21 @@
 
 share_cluster::~share_cluster() = default;
 
+duration share_cluster::latency_between(const std::string& from, std::size_t to) const
+{
+    const auto& domains = m_settings.domains;
+    const std::string& receiver = m_nodes[to].domain;
+    const auto position = [&domains](std::string_view domain_name) {
+        return std::ranges::find(domains, domain_name) - domains.begin();
+    };
+    const std::string_view sender = std::string_view(from).substr(0, from.rfind('-'));
+    if (sender == receiver)
+        return duration{0};
+    const auto half = static_cast<std::ptrdiff_t>(domains.size() / 2);
+    const bool same_region = (position(sender) < half) == (position(receiver) < half);
+    return same_region ? m_settings.domain_latency : m_settings.region_latency;
+}
+
 void share_cluster::start(std::size_t index)
 {
     sim_node& node = m_nodes[index];
--- a/src/tools/sharesexperiment/sharecluster.h
+++ b/src/tools/sharesexperiment/sharecluster.h
@@ -19,6 +19,10 @@
     std::vector<std::string> domains{"curepipe", "floreal", "quay", "caudan"};
     /// In the domains in turn.
     std::size_t nodes = 16;
+    /// Added to the network's latency between domains of a region and between regions; the first half of the domains
+    /// are one region.
+    duration domain_latency{1000};
+    duration region_latency{19500};
     /// One way.
     duration store_latency = std::chrono::milliseconds(2);
     std::uint64_t seed = 1;
@@ -110,6 +114,7 @@
         std::uint64_t refused = 0;
     };
 
+    duration latency_between(const std::string& from, std::size_t to) const;
     void count(const std::string& organisation, bool admitted);
 
     cluster_settings m_settings;
