Let a leaving node watch the store if its domain has nobody else

In the experiment with 4 nodes in 4 domains, one leaving, 93% of keyed requests were refused while the store was down: the domain of the leaving node had no watcher, was not heard and looked cut off. Leaving members now rank last instead of being left out of the tree.

--- a/src/plugins/configuration/relaytree.cpp
+++ b/src/plugins/configuration/relaytree.cpp
@@ -8,39 +8,44 @@
 
 namespace {
 
-std::uint64_t rank_of(std::string_view name)
+/// Leaving members have the upper half of the ranks: they watch only if their domain has nobody else. Without them, a
+/// domain whose last member leaves would be taken for one that is cut off.
+constexpr std::uint64_t leaving_bit = std::uint64_t{1} << 63;
+
+std::uint64_t serving_rank(std::string_view name)
 {
-    return XXH3_64bits(name.data(), name.size());
+    return XXH3_64bits(name.data(), name.size()) & ~leaving_bit;
 }
 
-} // namespace
-
-bool relay_tree::eligible(const member& record)
+std::uint64_t rank_of(const member& record)
 {
-    return record.state == member_state::starting || record.state == member_state::serving;
+    return serving_rank(record.id.name) | (record.state == member_state::leaving ? leaving_bit : 0);
 }
 
+} // namespace
+
 bool relay_tree::affected_by(const member& changed) const
 {
-    const bool present = std::binary_search(m_hashes.begin(), m_hashes.end(), rank_of(changed.id.name));
-    return present != eligible(changed);
+    const auto present = [this](std::uint64_t rank) {
+        return std::binary_search(m_ranks.begin(), m_ranks.end(), rank);
+    };
+    if (changed.state != member_state::dead)
+        return !present(rank_of(changed));
+    const std::uint64_t rank = serving_rank(changed.id.name);
+    return present(rank) || present(rank | leaving_bit);
 }
 
 void relay_tree::rebuild(std::span<const member> members)
 {
     using ranked = std::pair<std::uint64_t, const member*>;
     std::map<std::string_view, std::vector<ranked>> domains;
-    m_hashes.clear();
+    m_ranks.clear();
     for (const member& record : members) {
-        // A node that leaves keeps its own place, so that it goes on pulling until its end.
-        if (!eligible(record) && record.id.name != m_node)
-            continue;
-        const std::uint64_t rank = rank_of(record.id.name);
-        if (eligible(record))
-            m_hashes.push_back(rank);
+        const std::uint64_t rank = rank_of(record);
+        m_ranks.push_back(rank);
         domains[record.location.failure_domain].emplace_back(rank, &record);
     }
-    std::sort(m_hashes.begin(), m_hashes.end());
+    std::sort(m_ranks.begin(), m_ranks.end());
     m_watchers.clear();
     m_place = watchers_per_domain;
     m_parents.clear();
--- a/src/plugins/configuration/relaytree.h
+++ b/src/plugins/configuration/relaytree.h
@@ -12,8 +12,9 @@
 constexpr std::size_t watchers_per_domain = 2;
 constexpr std::size_t relay_fanout = 8;
 
-/// Places the members of each failure domain in a tree. Members are ordered by the hash of their names; the first two
-/// are the watchers, and each further pair has sixteen children, eight for each of the pair as preferred parent.
+/// Places the members of each failure domain in a tree. Members are ordered by the hash of their names, leaving ones
+/// last; the first two are the watchers, and each further pair has sixteen children, eight for each of the pair as
+/// preferred parent.
 class relay_tree {
 public:
     relay_tree(std::string node, std::string domain) : m_node(std::move(node)), m_domain(std::move(domain)) {}
@@ -33,7 +34,6 @@
     std::vector<std::string> watchers_of(std::string_view domain) const;
 
 private:
-    static bool eligible(const member& record);
     void find_relatives(const std::vector<std::pair<std::uint64_t, const member*>>& order);
 
     std::string m_node;
@@ -42,8 +42,8 @@
     std::vector<std::string> m_parents;
     std::vector<std::string> m_children;
     std::map<std::string, std::vector<std::string>, std::less<>> m_watchers;
-    /// Hashes of all names in the tree, in order.
-    std::vector<std::uint64_t> m_hashes;
+    /// Ranks of all members in the tree, in order.
+    std::vector<std::uint64_t> m_ranks;
 };
 
 } // namespace mulberry::detail
--- a/src/tools/controlexperiment/main.cpp
+++ b/src/tools/controlexperiment/main.cpp
@@ -212,7 +212,9 @@
             m_fleet.time_until([&] { return m_fleet.known_as(subject, member_state::leaving); }, seconds(60));
         m_fleet.network().set_loss(0);
         m_fleet.set_store_faults({});
-        m_fleet.timers().advance(seconds(10));
+        m_fleet.kill(subject);
+        m_fleet.start(subject);
+        m_fleet.timers().advance(seconds(30));
     }
 
     /// Share of samples in which a node refuses keyed requests, inside and outside a domain.
--- a/tests/auto/plugins/configuration/tst_configparts.cpp
+++ b/tests/auto/plugins/configuration/tst_configparts.cpp
@@ -165,4 +165,31 @@
     }
 }
 
+// Guards against a leaving watcher, and against a domain that looks cut off because its last member leaves.
+BOOST_AUTO_TEST_CASE(leaving_member_watches_only_if_its_domain_has_nobody_else)
+{
+    std::vector<member> members(3);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        members[i].id.name = "vm-" + std::to_string(i);
+        members[i].location.failure_domain = "a";
+        members[i].state = member_state::serving;
+    }
+    detail::relay_tree tree("vm-0", "a");
+    tree.rebuild(members);
+    const std::vector<std::string> before = tree.watchers_of("a");
+    for (member& each : members) {
+        if (each.id.name == before.front())
+            each.state = member_state::leaving;
+        BOOST_TEST(tree.affected_by(each) == (each.state == member_state::leaving));
+    }
+    tree.rebuild(members);
+    const std::vector<std::string> after = tree.watchers_of("a");
+    BOOST_TEST(std::ranges::count(after, before.front()) == 0);
+    std::erase_if(members, [&](const member& each) { return each.id.name != before.front(); });
+    tree.rebuild(members);
+    BOOST_TEST(tree.watchers_of("a") == std::vector<std::string>{before.front()}, boost::test_tools::per_element());
+    members.front().state = member_state::dead;
+    BOOST_TEST(tree.affected_by(members.front()));
+}
+
 } // namespace mulberry
