Bound the membership traffic of a merge and the watchers' traffic of an outage

Changes: a push is bounded to 1.5 KB/s, an exchange to 4 of 64 buckets, piggybacking to 700 bytes and to 3 transmissions for each factor of ten; watchers ask one other domain a second, and all only after a change or without the store; domains travel as hashes.

Only the end of the whole table counts now.

--- a/src/plugins/configuration/configrelay.cpp
+++ b/src/plugins/configuration/configrelay.cpp
@@ -32,8 +32,11 @@
 constexpr duration min_pull_interval{std::chrono::milliseconds(100)};
 /// A parent whose view is older is not good enough; the other one is asked.
 constexpr duration good_age{std::chrono::milliseconds(1200)};
-/// Without the store, watchers ask each other this often: statements of 2 s must outlive three hops.
-constexpr duration outage_period{std::chrono::milliseconds(250)};
+/// Without the store, watchers ask each other this often: a statement must be younger than 2 s after three hops, of
+/// which the last takes up to 1 s. Otherwise they ask one other domain per pull period.
+constexpr duration outage_period{std::chrono::milliseconds(300)};
+/// After a change, watchers ask all domains for this long, so that operators soon see where it is confirmed.
+constexpr duration confirming_time{std::chrono::seconds(10)};
 constexpr duration anti_entropy_period{std::chrono::seconds(10)};
 /// Confirmations of one change come spread over this time.
 constexpr duration confirmation_spread{std::chrono::milliseconds(500)};
@@ -156,6 +159,8 @@
     /// Swapped when the preferred parent does not answer.
     bool m_use_second_parent = false;
     std::uint64_t m_watcher_round = 0;
+    time_point m_next_watcher_round{};
+    time_point m_confirming_until{};
     time_point m_next_round{};
     std::map<std::string, time_point, std::less<>> m_children;
 
@@ -282,6 +287,7 @@
 
 void config_relay::implementation::on_documents_changed()
 {
+    m_confirming_until = m_timers.now() + confirming_time;
     tell_children();
     confirm_soon();
 }
@@ -361,14 +367,19 @@
 
 void config_relay::implementation::ask_watchers()
 {
-    const duration period = store_is_missing() ? outage_period : m_settings.pull_period;
-    m_watchers_timer = m_timers.schedule(period, [this] { ask_watchers(); });
-    if (!m_tree.is_watcher())
+    m_watchers_timer = m_timers.schedule(outage_period, [this] { ask_watchers(); });
+    const bool missing = store_is_missing();
+    if (!m_tree.is_watcher() || (!missing && m_timers.now() < m_next_watcher_round))
         return;
+    const bool all = missing || m_timers.now() < m_confirming_until;
+    m_next_watcher_round = m_timers.now() + m_settings.pull_period;
     ++m_watcher_round;
+    std::uint64_t index = 0;
     for (const auto& [domain, names] : m_tree.watchers()) {
-        const std::string other = domain == m_settings.domain ? partner() : names[m_watcher_round % names.size()];
-        if (!other.empty())
+        const bool own = domain == m_settings.domain;
+        const bool in_turn = index++ == m_watcher_round % m_tree.watchers().size();
+        const std::string other = own ? partner() : names[m_random.uniform(names.size())];
+        if (!other.empty() && (all || own || in_turn))
             pull(other, false);
     }
 }
@@ -476,7 +487,7 @@
         if (!wanted)
             continue;
         auto& out = *reply.add_statements();
-        out.set_domain(statement.domain);
+        out.set_domain_hash(domain_hash(statement.domain));
         out.set_age_ms(rounded_up_ms(statement.age));
         if (statement.store_reached_ago)
             out.set_reached_ago_ms_plus_one(rounded_down_ms(*statement.store_reached_ago) + 1);
@@ -530,8 +541,8 @@
     for (const auto& in : reply.statements()) {
         if (!revision_allowed(in.known_revision()) || !revision_allowed(in.confirmed_revision()))
             continue;
-        domain_statement statement{in.domain(), from_ms(in.age_ms()), std::nullopt, in.known_revision(),
-                                   in.confirmed_revision()};
+        domain_statement statement{m_age.domain_with_hash(in.domain_hash()), from_ms(in.age_ms()), std::nullopt,
+                                   in.known_revision(), in.confirmed_revision()};
         if (in.reached_ago_ms_plus_one() > 0)
             statement.store_reached_ago = from_ms(in.reached_ago_ms_plus_one() - 1);
         m_age.hear(statement, sent);
@@ -592,17 +603,19 @@
 {
     if (m_ready)
         return;
-    std::vector<std::string> sources = m_tree.parents();
+    const auto asked = [this](const std::string& name) { return m_asked_sources.contains(name); };
+    bool all_asked = std::all_of(m_tree.parents().begin(), m_tree.parents().end(), asked);
     if (m_tree.is_watcher()) {
         if (!m_store_answered && !m_store_failed_once)
             return;
         m_ready = m_store_answered;
-        for (const auto& [domain, names] : m_tree.watchers())
-            sources.push_back(domain == m_settings.domain ? partner() : names[m_watcher_round % names.size()]);
+        for (const auto& [domain, names] : m_tree.watchers()) {
+            // One watcher of each other domain is enough.
+            const bool own = domain == m_settings.domain;
+            all_asked = all_asked &&
+                        (own ? partner().empty() || asked(partner()) : std::any_of(names.begin(), names.end(), asked));
+        }
     }
-    const bool all_asked = std::all_of(sources.begin(), sources.end(), [this](const std::string& name) {
-        return name.empty() || m_asked_sources.contains(name);
-    });
     m_ready = m_ready || (m_heard_ready_source && all_asked);
     if (!m_ready)
         return;
--- a/src/plugins/configuration/viewage.cpp
+++ b/src/plugins/configuration/viewage.cpp
@@ -2,8 +2,15 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace mulberry {
 
+std::uint32_t domain_hash(std::string_view domain)
+{
+    return static_cast<std::uint32_t>(XXH3_64bits(domain.data(), domain.size()));
+}
+
 view_age::view_age(timer_service& timers, std::span<const std::string> domains) : m_timers(timers)
 {
     for (const std::string& domain : domains)
@@ -21,6 +28,15 @@
         m_domains.emplace(domain, std::nullopt);
 }
 
+std::string view_age::domain_with_hash(std::uint32_t hash) const
+{
+    for (const auto& [domain, heard] : m_domains) {
+        if (domain_hash(domain) == hash)
+            return domain;
+    }
+    return {};
+}
+
 void view_age::set_fresh_at(time_point as_of)
 {
     if (!m_fresh_at || *m_fresh_at < as_of)
--- a/src/plugins/configuration/viewage.h
+++ b/src/plugins/configuration/viewage.h
@@ -34,6 +34,9 @@
 /// A domain that got no answer from the store for this long has missed a heartbeat and does not reach it.
 constexpr duration out_of_reach_after{std::chrono::milliseconds(1500)};
 
+/// Short form of a domain's name in messages.
+std::uint32_t domain_hash(std::string_view domain);
+
 /// Knows how old the view is and what the domains state about the store.
 class view_age {
 public:
@@ -46,6 +49,9 @@
     /// Adds a domain that was heard of; domains are never removed, because a silent one may be cut off.
     void add_domain(std::string_view domain);
 
+    /// The name of the domain with this hash, empty if there is none.
+    std::string domain_with_hash(std::uint32_t hash) const;
+
     /// The view was complete at this time or later.
     void set_fresh_at(time_point as_of);
     /// Age of the view; empty before it was complete once.
--- a/src/plugins/membership/membership.cpp
+++ b/src/plugins/membership/membership.cpp
@@ -24,25 +24,30 @@
 constexpr std::string_view log_part = "membership";
 constexpr std::string_view seeds_prefix = "seeds/";
 
-/// Piggybacked changes per message; keeps a message within one packet of 1,500 bytes.
-constexpr std::size_t max_piggyback_bytes = 1'100;
+/// Piggybacked changes per message. With two messages sent and two received a second, a long queue costs 2.8 KB/s of
+/// the 9 KB/s that all control traffic may take.
+constexpr std::size_t max_piggyback_bytes = 700;
 constexpr std::size_t max_records_bytes = 16'384;
 /// Above these sizes a payload is not parsed.
 constexpr std::size_t max_payload_bytes = 262'144;
 constexpr std::size_t max_members = 20'000;
 
-/// A change is piggybacked this often for each factor of ten of the fleet, as in the published SWIM implementations.
-constexpr unsigned transmissions_per_decade = 4;
+/// A change is piggybacked this often for each factor of ten of the fleet. Published SWIM implementations use 4; here
+/// a change is also pushed at once. With 2 and 10% loss, healthy members were declared dead.
+constexpr unsigned transmissions_per_decade = 3;
 /// Members to which a change is sent at once. Each receiver does the same once, so 1,400 nodes are reached in six
 /// steps.
 constexpr std::size_t eager_fanout = 4;
-/// Changes that come together are sent together; the second value bounds the messages when a whole domain changes.
+/// Changes that come together are sent together. The rate bounds the bytes that are pushed when a whole domain changes;
+/// an unbounded push took 35 KB/s for the time of a merge.
 constexpr duration eager_delay{std::chrono::milliseconds(20)};
-constexpr duration eager_interval{std::chrono::milliseconds(250)};
+constexpr double eager_bytes_per_second = 1'500;
+/// Buckets whose records one exchange carries; the whole table would take 31 KB/s at 1,400 members after a partition.
+constexpr std::size_t buckets_per_exchange = 4;
 
 /// A suspicion that came late by gossip may have been refuted already, so each node asks the member itself this often
 /// before it declares it dead. Without, 10% loss cost a healthy member its place several times an hour.
-constexpr unsigned max_final_probes = 2;
+constexpr unsigned max_final_probes = 3;
 
 /// After a failed probe more members are probed per period, so that a small group that was cut off finds out about the
 /// others before their tombstones end.
@@ -193,7 +198,7 @@
     time_point m_joined_at{};
     time_point m_last_tick{};
     time_point m_last_heard{};
-    time_point m_last_eager{};
+    time_point m_next_eager{};
     timer_id m_tick_timer = 0;
     timer_id m_anti_entropy_timer = 0;
     timer_id m_store_timer = 0;
@@ -211,7 +216,6 @@
     m_table.put(m_settings.self, 1);
     m_last_tick = m_timers.now();
     m_last_heard = m_timers.now();
-    m_last_eager = m_timers.now() - eager_interval;
     // Nodes that start together must not probe in step.
     const auto period = static_cast<std::uint64_t>(m_settings.probe_period.count());
     m_tick_timer = m_timers.schedule(duration{static_cast<std::int64_t>(m_random.uniform(period))}, [this] { tick(); });
@@ -755,9 +759,11 @@
     if (digest.hashes_size() != static_cast<int>(detail::digest_buckets))
         return;
     std::vector<std::uint32_t> differing;
-    for (std::uint32_t i = 0; i < detail::digest_buckets; ++i) {
-        if (digest.hashes(static_cast<int>(i)) != m_table.buckets()[i])
-            differing.push_back(i);
+    const auto first = static_cast<std::uint32_t>(m_random.uniform(detail::digest_buckets));
+    for (std::uint32_t i = 0; i < detail::digest_buckets && differing.size() < buckets_per_exchange; ++i) {
+        const auto bucket = static_cast<std::uint32_t>((first + i) % detail::digest_buckets);
+        if (digest.hashes(static_cast<int>(bucket)) != m_table.buckets()[bucket])
+            differing.push_back(bucket);
     }
     if (!differing.empty())
         send_buckets(from, differing, true, {});
@@ -766,7 +772,9 @@
 void membership::implementation::handle_records(std::string_view from,
                                                 const membership_messages::bucket_records& records)
 {
-    if (!m_joined) {
+    // An exchange of a few buckets may come first; only the end of the whole table ends the attempts to join.
+    const bool whole_table = records.buckets_size() == static_cast<int>(detail::digest_buckets);
+    if (!m_joined && whole_table) {
         m_joined = true;
         m_joined_at = m_timers.now();
     }
@@ -1011,23 +1019,26 @@
     m_eager.add(change);
     if (m_eager_timer != 0)
         return;
-    const duration since_last = m_timers.now() - m_last_eager;
-    m_eager_timer = m_timers.schedule(std::max(eager_delay, eager_interval - since_last), [this] { flush_eager(); });
+    m_eager_timer = m_timers.schedule(std::max(eager_delay, m_next_eager - m_timers.now()), [this] { flush_eager(); });
 }
 
 void membership::implementation::flush_eager()
 {
     m_eager_timer = 0;
-    m_last_eager = m_timers.now();
     membership_message changes;
     m_eager.take(changes, max_piggyback_bytes, 1);
+    std::size_t bytes = 0;
     for (const std::string& target : random_members(eager_fanout, {})) {
         membership_message message = new_message();
         *message.mutable_changes() = changes.changes();
-        m_link.send(target, control_channel::membership, message.SerializeAsString());
+        std::string payload = message.SerializeAsString();
+        bytes += payload.size();
+        m_link.send(target, control_channel::membership, std::move(payload));
     }
+    const duration wait = from_seconds(static_cast<double>(bytes) / eager_bytes_per_second);
+    m_next_eager = m_timers.now() + wait;
     if (m_eager.size() > 0)
-        m_eager_timer = m_timers.schedule(eager_interval, [this] { flush_eager(); });
+        m_eager_timer = m_timers.schedule(wait, [this] { flush_eager(); });
 }
 
 /// Takes a copy, because a listener may change the own record.
