Share the blocking HTTP caller of the tools

mulberryctl needs the same blocking calls as the nested calls of standinupstream, with the difference between a request that did not leave and one that may have arrived. The caller moves to src/tools/httpcaller, reports http_error and takes an authority for https.

--- a/src/tools/standinupstream/nestedcaller.cpp
+++ b/src/tools/httpcaller/httpcaller.cpp
@@ -1,4 +1,6 @@
-#include "tools/standinupstream/nestedcaller.h"
+#include "tools/httpcaller/httpcaller.h"
+
+#include "libs/base/asyncerror.h"
 
 #include <curl/curl.h>
 #include <fmt/format.h>
@@ -28,35 +30,63 @@
 }
 
 /// Lets the first attempt through. libcurl repeats a request on its own when a kept connection is lost, which would run
-/// a nested call twice without the daemon's knowledge.
+/// a call twice without the daemon's knowledge.
 int allow_one_attempt(void* attempts, char*, char*, int, int)
 {
     return ++*static_cast<int*>(attempts) == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
+http_error error_from(CURLcode code, int attempts)
+{
+    if (attempts == 0)
+        return http_error::not_sent;
+    switch (code) {
+    case CURLE_OPERATION_TIMEDOUT:
+        return http_error::timed_out;
+    case CURLE_PARTIAL_FILE:
+        return http_error::truncated;
+    default:
+        return http_error::connection_lost;
+    }
+}
+
+struct slist_deleter {
+    void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+std::unique_ptr<curl_slist, slist_deleter> field_list(const http_headers& headers)
+{
+    curl_slist* fields = curl_slist_append(nullptr, "Expect:");
+    for (const auto& [name, value] : headers)
+        fields = curl_slist_append(fields, fmt::format("{}: {}", name, value).c_str());
+    return std::unique_ptr<curl_slist, slist_deleter>(fields);
+}
+
 } // namespace
 
 /// A curl handle, which keeps its connection between calls.
-class nested_caller::connection {
+class http_caller::connection {
 public:
     connection() : m_handle(curl_easy_init()) {}
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
     ~connection() { curl_easy_cleanup(m_handle); }
 
-    http_answer call(const std::string& url, const std::string& method, const http_headers& headers,
-                     std::string_view body, duration timeout)
+    leaf::result<http_answer> call(const std::string& url, const std::string& ca_file, duration timeout,
+                                   const std::string& method, const http_headers& headers, std::string_view body)
     {
         http_answer answer;
-        curl_slist* fields = curl_slist_append(nullptr, "Expect:");
-        for (const auto& [name, value] : headers)
-            fields = curl_slist_append(fields, fmt::format("{}: {}", name, value).c_str());
+        int attempts = 0;
+        const auto fields = field_list(headers);
         curl_easy_reset(m_handle);
         curl_easy_setopt(m_handle, CURLOPT_URL, url.c_str());
+        curl_easy_setopt(m_handle, CURLOPT_PROTOCOLS_STR, "http,https");
         curl_easy_setopt(m_handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(m_handle, CURLOPT_PROXY, "");
         curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, static_cast<long>(to_milliseconds(timeout)));
-        curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, fields);
+        curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, fields.get());
+        if (!ca_file.empty())
+            curl_easy_setopt(m_handle, CURLOPT_CAINFO, ca_file.c_str());
         if (method == "HEAD")
             curl_easy_setopt(m_handle, CURLOPT_NOBODY, 1L);
         if (!body.empty() || method == "POST" || method == "PUT" || method == "PATCH") {
@@ -68,15 +98,14 @@
         curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, &answer.body);
         curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, append_header);
         curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, &answer.headers);
-        int attempts = 0;
         curl_easy_setopt(m_handle, CURLOPT_PREREQFUNCTION, allow_one_attempt);
         curl_easy_setopt(m_handle, CURLOPT_PREREQDATA, &attempts);
-        if (curl_easy_perform(m_handle) == CURLE_OK) {
-            long status = 0;
-            curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
-            answer.status = static_cast<int>(status);
-        }
-        curl_slist_free_all(fields);
+        const CURLcode code = curl_easy_perform(m_handle);
+        if (code != CURLE_OK)
+            return captured_error<http_answer>(error_from(code, attempts));
+        long status = 0;
+        curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
+        answer.status = static_cast<int>(status);
         return answer;
     }
 
@@ -84,14 +113,14 @@
     CURL* m_handle;
 };
 
-nested_caller::nested_caller(std::string base_url, duration timeout)
-    : m_base_url(std::move(base_url)), m_timeout(timeout)
+http_caller::http_caller(std::string base_url, duration timeout, std::string ca_file)
+    : m_base_url(std::move(base_url)), m_timeout(timeout), m_ca_file(std::move(ca_file))
 {
 }
 
-nested_caller::~nested_caller() = default;
+http_caller::~http_caller() = default;
 
-std::unique_ptr<nested_caller::connection> nested_caller::take()
+std::unique_ptr<http_caller::connection> http_caller::take()
 {
     const std::lock_guard lock(m_mutex);
     if (m_idle.empty())
@@ -101,17 +130,17 @@
     return taken;
 }
 
-void nested_caller::give_back(std::unique_ptr<connection> idle)
+void http_caller::give_back(std::unique_ptr<connection> idle)
 {
     const std::lock_guard lock(m_mutex);
     m_idle.push_back(std::move(idle));
 }
 
-http_answer nested_caller::call(std::string_view method, std::string_view path, const http_headers& headers,
-                                std::string_view body)
+leaf::result<http_answer> http_caller::call(std::string_view method, std::string_view path, const http_headers& headers,
+                                            std::string_view body)
 {
     auto used = take();
-    http_answer answer = used->call(m_base_url + std::string(path), std::string(method), headers, body, m_timeout);
+    auto answer = used->call(m_base_url + std::string(path), m_ca_file, m_timeout, std::string(method), headers, body);
     give_back(std::move(used));
     return answer;
 }
--- a/src/tools/standinupstream/upstreamserver.cpp
+++ b/src/tools/standinupstream/upstreamserver.cpp
@@ -171,11 +171,11 @@
     const http_headers headers{{std::string(context_header), std::string(request.header(context_header))}};
     for (const nested_call& call : behaviour.nested) {
         ++m_counters.nested_calls;
-        const http_answer answer = m_nested.call(call.method, call.path, headers, request.body);
-        if (answer.status >= 200 && answer.status < 300)
+        const auto answer = m_nested.call(call.method, call.path, headers, request.body);
+        if (answer && answer->status >= 200 && answer->status < 300)
             continue;
         ++m_counters.nested_failed;
-        return text_answer(status_after_nested(answer.status), "A nested call failed.\n");
+        return text_answer(answer ? status_after_nested(answer->status) : 502, "A nested call failed.\n");
     }
     return std::nullopt;
 }
--- a/src/tools/standinupstream/upstreamserver.h
+++ b/src/tools/standinupstream/upstreamserver.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "libs/base/randomsource.h"
+#include "tools/httpcaller/httpcaller.h"
 #include "tools/standincommon/standinserver.h"
-#include "tools/standinupstream/nestedcaller.h"
 #include "tools/standinupstream/runcounter.h"
 #include "tools/standinupstream/slotpool.h"
 #include "tools/standinupstream/upstreamsettings.h"
@@ -67,7 +67,7 @@
     seeded_random_source m_random;
     slot_pool m_slots;
     run_counter m_runs;
-    nested_caller m_nested;
+    http_caller m_nested;
     counters m_counters;
     std::atomic<bool> m_draining = false;
     standin_server m_server;
--- a/tests/auto/tools/standinstore/tst_standinstore.cpp
+++ b/tests/auto/tools/standinstore/tst_standinstore.cpp
@@ -4,7 +4,7 @@
 #include "libs/base/asyncerror.h"
 #include "libs/store/etcdstore.h"
 #include "libs/store/gatewaycodec.h"
-#include "tools/standinupstream/nestedcaller.h"
+#include "tools/httpcaller/httpcaller.h"
 
 #include <future>
 
@@ -25,13 +25,10 @@
 
     http_call_id send(http_request request, http_callback done) override
     {
-        nested_caller caller(request.url, std::chrono::seconds(60));
-        http_answer answer = caller.call(request.method, "", request.headers, request.body);
-        m_timers.schedule(duration{0}, [answer = std::move(answer), done = std::move(done)]() mutable {
-            if (answer.status == 0)
-                return done(captured_error<http_answer>(http_error::connection_lost));
-            done(std::move(answer));
-        });
+        http_caller caller(request.url, std::chrono::seconds(60));
+        auto answer =
+            std::make_shared<leaf::result<http_answer>>(caller.call(request.method, "", request.headers, request.body));
+        m_timers.schedule(duration{0}, [answer, done = std::move(done)] { done(std::move(*answer)); });
         return 1;
     }
     void cancel(http_call_id) override {}
@@ -44,14 +41,14 @@
 struct standin_fixture {
     gateway_server server;
     std::string url = fmt::format("http://127.0.0.1:{}", server.start("127.0.0.1", 0));
-    nested_caller caller{url, std::chrono::seconds(60)};
+    http_caller caller{url, std::chrono::seconds(60)};
     virtual_timer_service timers;
     loopback_http_client http{timers};
     etcd_store store{http, timers, {{url}, std::chrono::seconds(2)}};
 
     void set_faults(const std::string& members)
     {
-        BOOST_TEST(caller.call("POST", "/standin/faults", {}, members).status == 200);
+        BOOST_TEST(caller.call("POST", "/standin/faults", {}, members)->status == 200);
     }
 
     template <typename Result>
@@ -76,7 +73,7 @@
     {
         return run<range_result>([&](auto done) { store.range(prefix, done); });
     }
-    json stats() { return json::parse(caller.call("GET", "/standin/stats", {}, "").body); }
+    json stats() { return json::parse(caller.call("GET", "/standin/stats", {}, "")->body); }
 };
 
 } // namespace
@@ -141,7 +138,7 @@
     BOOST_REQUIRE(lease.has_value());
     BOOST_TEST(put("k", 0, "v", *lease)->applied);
     BOOST_TEST(static_cast<bool>(run<void>([&](auto done) { store.keep_alive(*lease, done); })));
-    BOOST_TEST(caller.call("POST", "/standin/lapse", {}, fmt::format(R"({{"ID": "{}"}})", *lease)).status == 200);
+    BOOST_TEST(caller.call("POST", "/standin/lapse", {}, fmt::format(R"({{"ID": "{}"}})", *lease))->status == 200);
     BOOST_TEST(range("k")->entries.empty());
     const store_error error =
         error_of(run<void>([&](auto done) { store.keep_alive(*lease, done); }), store_error::bad_answer);
@@ -153,9 +150,9 @@
 BOOST_FIXTURE_TEST_CASE(watch_streams_changes_until_the_store_is_down, standin_fixture)
 {
     BOOST_TEST(put("w/a", 0, "early")->applied);
-    nested_caller watcher(url, std::chrono::seconds(60));
+    http_caller watcher(url, std::chrono::seconds(60));
     auto stream = std::async(std::launch::async, [&] {
-        return watcher.call("POST", gateway::watch_path, {}, gateway::watch_request("w/", "w0", 1)).body;
+        return watcher.call("POST", gateway::watch_path, {}, gateway::watch_request("w/", "w0", 1))->body;
     });
     while (stats()["open_watches"] != 1)
         std::this_thread::yield();
@@ -196,7 +193,7 @@
              {"/standin/faults", R"({"delay":"1"})", 400},
          }) {
         BOOST_TEST_CONTEXT(path << " " << body)
-        BOOST_TEST(caller.call("POST", path, {}, body).status == status);
+        BOOST_TEST(caller.call("POST", path, {}, body)->status == status);
     }
 }
 
--- a/tests/auto/tools/standinupstream/tst_standinupstream.cpp
+++ b/tests/auto/tools/standinupstream/tst_standinupstream.cpp
@@ -31,9 +31,9 @@
 
     http_answer post(std::string_view path, std::string_view body, const http_headers& headers = {})
     {
-        return client.call("POST", path, headers, body);
+        return *client.call("POST", path, headers, body);
     }
-    json stats() { return json::parse(client.call("GET", "/stats", {}, "").body); }
+    json stats() { return json::parse(client.call("GET", "/stats", {}, "")->body); }
     void wait_for_runs(std::uint64_t runs)
     {
         while (stats()["runs"].get<std::uint64_t>() < runs)
@@ -43,7 +43,7 @@
     int drains = 0;
     upstream_server server;
     std::string base_url;
-    nested_caller client;
+    http_caller client;
 };
 
 } // namespace
@@ -59,7 +59,7 @@
     BOOST_TEST(stats["runs"] == 3);
     BOOST_TEST(stats["distinct_bodies"] == 2);
     BOOST_TEST((stats["repeated_bodies"] == json{{"two", 2}}));
-    BOOST_TEST(json::parse(upstream.client.call("GET", "/stats/runs?two", {}, "").body)["runs"] == 2);
+    BOOST_TEST(json::parse(upstream.client.call("GET", "/stats/runs?two", {}, "")->body)["runs"] == 2);
 }
 
 // Guards against a caller's key that reaches the upstream unnoticed.
@@ -100,7 +100,7 @@
     BOOST_TEST(upstream.post("/drain", "").status == 202);
     BOOST_TEST(upstream.drains == 1);
     BOOST_TEST(upstream.post("/a", "late").status == 503);
-    BOOST_TEST(upstream.client.call("GET", "/health", {}, "").status == 503);
+    BOOST_TEST(upstream.client.call("GET", "/health", {}, "")->status == 503);
     BOOST_TEST(upstream.server.finish());
     BOOST_TEST(running.get().body == "kept");
 }
@@ -154,7 +154,7 @@
         BOOST_TEST_CONTEXT(body)
         {
             BOOST_TEST(upstream.post("/settings", body).status == status);
-            BOOST_TEST(upstream.client.call("GET", "/health", {}, "").status == health);
+            BOOST_TEST(upstream.client.call("GET", "/health", {}, "")->status == health);
         }
     }
 }
