--- a/src/libs/documents/checks.cpp
+++ b/src/libs/documents/checks.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t longest_name = 63;
 constexpr std::array<std::string_view, 7> methods{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 
-/// First segment of the daemon's own paths.
-constexpr std::string_view reserved_service_name = "mulberry";
+/// The first segment of the daemon's own paths, and the name of the organisations document beside those of services.
+constexpr std::array<std::string_view, 2> reserved_service_names{"mulberry", "organisations"};
 
 bool is_name_character(char c)
 {
@@ -36,8 +36,8 @@
 
 std::string check_service_name(std::string_view text)
 {
-    if (text == reserved_service_name)
-        return fmt::format("must not be \"{}\", the first segment of the daemon's own paths", text);
+    if (std::ranges::find(reserved_service_names, text) != reserved_service_names.end())
+        return fmt::format("must not be \"{}\", which is reserved", text);
     return check_name(text);
 }
 
