--- a/src/app/mulberryd/operatorapi.cpp
+++ b/src/app/mulberryd/operatorapi.cpp
@@ -143,7 +143,9 @@
         address = m_parts.addresses.find_address(watcher);
     }
     if (!address)
-        return answer_error(*responder, status_unavailable, "no_watcher", "No watcher of this domain can be reached.");
+        return answer_json(
+            *responder, status_unavailable,
+            {{"error", "no_watcher"}, {"message", "No watcher of this domain can be reached."}, {"written", false}});
     m_parts.peers.call(
         watcher, *address, document_write_path, encode_write(write),
         [this, write, watchers, responder](leaf::result<std::string> result) {
@@ -175,12 +177,11 @@
     const auto revision = query.starts_with(prefix) ? parse_number(query.substr(prefix.size())) : std::nullopt;
     if (!revision)
         return answer_error(*responder, status_bad_request, "bad_request", "The query must be revision=NUMBER.");
-    const unconfirmed_parts missing = m_parts.owner.relay().unconfirmed(*revision);
-    answer_json(*responder, status_ok,
-                {{"revision", *revision},
-                 {"in_force", missing.nodes.empty() && missing.domains.empty()},
-                 {"nodes", missing.nodes},
-                 {"domains", missing.domains}});
+    const unconfirmed_parts parts = m_parts.owner.relay().unconfirmed(*revision);
+    std::vector<std::string> missing = parts.nodes;
+    for (const std::string& domain : parts.domains)
+        missing.push_back("domain " + domain);
+    answer_json(*responder, status_ok, {{"revision", *revision}, {"missing", missing}});
 }
 
 void operator_api::get_explanation(std::string_view request_id, const responder_ptr& responder)
--- a/src/app/mulberryd/operatorjson.cpp
+++ b/src/app/mulberryd/operatorjson.cpp
@@ -210,7 +210,10 @@
 
 write_answer answer_of(const write_failure& failure)
 {
-    return {status_of(failure.error), {{"error", to_string(failure.error)}, {"message", failure.explanation}}};
+    return {status_of(failure.error),
+            {{"error", to_string(failure.error)},
+             {"message", failure.explanation},
+             {"written", failure.error == write_error::unknown_outcome ? json() : json(false)}}};
 }
 
 std::string encode_answer(const write_answer& answer)
