Restore limits after a stall, judge the growth of the entry by service

Cause: after a stall the limits stayed at a quarter because they grew only in full use and by full windows; organisations throttled hard got too few answers to open again; an ejected half of the subset left only the other region, whose link budget refused calls. Change: a limit below 70% of the one before the timeouts grows fourfold with five good samples; utilisation is kept per service; high and critical probe with 10%; an upstream is ejected only while half of the others answer, and ejected ones of the own region are used before there are none.

--- a/src/plugins/admission/concurrencylimiter.cpp
+++ b/src/plugins/admission/concurrencylimiter.cpp
@@ -17,8 +17,11 @@
 constexpr std::size_t most_samples = 1'024;
 /// Service times vary with the mix of requests; only a rise beyond this factor counts as queueing in the upstream.
 constexpr double tolerance = 2;
-/// Growth per window in full use. A limit that was lowered by a stall must be back within the recovery target.
+/// Growth per window in full use.
 constexpr double growth = 1.6;
+/// Growth up to a part of the limit that held before a stall, so that the limit is back within the recovery target.
+constexpr double growth_after_stall = 4;
+constexpr double fast_growth_part = 0.7;
 constexpr double steepest_fall = 0.7;
 /// Part of the difference by which one window moves the baseline down, and up. A lasting rise is followed by 1% a
 /// second.
@@ -57,7 +60,7 @@
         if (m_samples_us.size() < most_samples)
             m_samples_us.push_back(static_cast<double>(service_time.count()));
     }
-    const bool enough = m_finished >= std::max(least_samples, static_cast<std::size_t>(limit()));
+    const bool enough = m_finished >= (is_fast() ? least_samples : std::max<std::size_t>(reliable_samples, limit()));
     if (now - m_window_start >= (enough ? window : longest_window))
         close_window(now);
 }
@@ -71,6 +74,7 @@
         m_median_us = *middle;
     }
     if (many_timeouts) {
+        m_fast_growth_end = std::max(m_fast_growth_end, m_limit * fast_growth_part);
         m_limit = std::max(m_limit * steepest_fall, lowest_limit());
     }
     else if (!m_samples_us.empty()) {
@@ -96,6 +100,10 @@
     const double gradient = tolerance * m_baseline_us / std::max(mean_us, 1.0);
     if (gradient < 1 && reliable) {
         m_limit *= std::max(gradient, steepest_fall);
+        m_fast_growth_end = std::min(m_fast_growth_end, m_limit);
+    }
+    else if (gradient >= 1 && m_limit < m_fast_growth_end) {
+        m_limit = std::min(m_limit * growth_after_stall, m_fast_growth_end);
     }
     else if (gradient >= 1 && m_in_full_use) {
         m_limit = std::max(m_limit + 1, m_limit * growth);
@@ -103,6 +111,13 @@
     m_limit = std::clamp(m_limit, lowest_limit(), static_cast<double>(m_slots));
 }
 
+/// Whether the window so far gives no reason to lower the limit; it may then be closed early.
+bool concurrency_limiter::is_fast() const
+{
+    const double sum = std::accumulate(m_samples_us.begin(), m_samples_us.end(), 0.0);
+    return m_timed_out == 0 && sum <= tolerance * m_baseline_us * static_cast<double>(m_samples_us.size());
+}
+
 double concurrency_limiter::lowest_limit() const
 {
     return std::max(1.0, lowest_part * m_slots);
--- a/src/plugins/admission/concurrencylimiter.h
+++ b/src/plugins/admission/concurrencylimiter.h
@@ -25,11 +25,14 @@
 private:
     void close_window(time_point now);
     void adapt(double mean_us);
+    bool is_fast() const;
     double lowest_limit() const;
 
     std::uint32_t m_slots;
     bool m_learn;
     double m_limit;
+    /// Below this the limit grows fastest; set from the limit at which a series of timeouts began.
+    double m_fast_growth_end = 0;
     double m_baseline_us = 0;
     double m_median_us = 0;
     time_point m_last_success;
--- a/src/plugins/routing/upstreamobservation.cpp
+++ b/src/plugins/routing/upstreamobservation.cpp
@@ -16,6 +16,8 @@
 /// What a refusal costs compared with an answer: the attempt and the delay before the next one.
 constexpr double refusal_cost_us = 500000;
 
+constexpr duration recent_answer{2'000'000};
+
 } // namespace
 
 void upstream_observation::on_sent(time_point now)
@@ -30,6 +32,7 @@
     note_refusal(now, 0);
     m_latency_sum += static_cast<double>(latency.count());
     m_latency_weight += 1;
+    m_last_answer = now;
     m_limit = concurrency_limit;
     m_failures = 0;
     m_ejections = 0;
@@ -92,6 +95,11 @@
     return (static_cast<double>(expected_latency(now, typical).count()) + 1) * (m_in_flight + 1) / capacity;
 }
 
+bool upstream_observation::answers(time_point now) const
+{
+    return now - m_last_answer <= recent_answer;
+}
+
 void upstream_observation::eject(time_point now, duration first, duration longest)
 {
     // Shifts beyond this exceed any sensible longest ejection.
--- a/src/plugins/routing/upstreamobservation.h
+++ b/src/plugins/routing/upstreamobservation.h
@@ -23,6 +23,8 @@
     double cost(time_point now, duration typical) const;
     std::uint32_t in_flight() const { return m_in_flight; }
 
+    /// Whether an answer came within the last seconds.
+    bool answers(time_point now) const;
     bool is_ejected(time_point now) const { return now < m_ejected_until; }
     void eject(time_point now, duration first, duration longest);
 
@@ -40,6 +42,7 @@
     time_point m_updated;
     /// Last answer, or the first call sent after all others had ended.
     time_point m_last_progress;
+    time_point m_last_answer{duration::min() / 2};
     std::uint32_t m_failures = 0;
     std::uint32_t m_ejections = 0;
     time_point m_ejected_until;
--- a/src/plugins/routing/upstreamselector.cpp
+++ b/src/plugins/routing/upstreamselector.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <map>
 #include <utility>
 
@@ -180,8 +181,12 @@
 void upstream_selector::implementation::leave_out_ejected(candidate_list& candidates) const
 {
     const auto ejected = [now = m_timers.now()](candidate each) { return each->second.observed.is_ejected(now); };
-    if (!std::ranges::all_of(candidates, ejected))
-        std::erase_if(candidates, ejected);
+    // The link to the other region may be too narrow for all calls, so its upstreams don't replace those of this one.
+    const auto is_near = [](candidate each) { return each->second.away != detail::distance::other_region; };
+    const bool near_left =
+        std::ranges::any_of(candidates, [&](candidate each) { return is_near(each) && !ejected(each); });
+    const bool any_left = std::ranges::any_of(candidates, std::not_fn(ejected));
+    std::erase_if(candidates, [&](candidate each) { return ejected(each) && (is_near(each) ? near_left : any_left); });
 }
 
 void upstream_selector::implementation::leave_out_ramping(candidate_list& candidates)
@@ -259,16 +264,23 @@
         subject->observed.on_abandoned();
 }
 
-/// At most half of a subset is left out: when most upstreams fail, the cause lies elsewhere and the rest would be
-/// overloaded.
+/// An upstream is an outlier only while at least half of the others answer, and at most half are left out: when most
+/// fail, the cause lies elsewhere and the rest would be overloaded.
 bool upstream_selector::implementation::is_ejectable(const upstream& subject) const
 {
     const auto it = m_services.find(subject.service);
     if (it == m_services.end())
         return false;
-    const auto ejected = std::ranges::count_if(
-        it->second.subset, [now = m_timers.now()](candidate each) { return each->second.observed.is_ejected(now); });
-    return static_cast<std::size_t>(ejected + 1) * 2 <= it->second.subset.size();
+    const time_point now = m_timers.now();
+    std::size_t ejected = 0;
+    std::size_t answering = 0;
+    for (const candidate each : it->second.subset) {
+        const auto& observed = each->second.observed;
+        ejected += observed.is_ejected(now) ? 1 : 0;
+        answering += &each->second != &subject && !observed.is_ejected(now) && observed.answers(now) ? 1 : 0;
+    }
+    const std::size_t size = it->second.subset.size();
+    return (ejected + 1) * 2 <= size && answering * 2 + 1 >= size;
 }
 
 upstream_selector::implementation::upstream* upstream_selector::implementation::find(std::string_view name)
--- a/src/plugins/throttle/entrythrottle.cpp
+++ b/src/plugins/throttle/entrythrottle.cpp
@@ -23,12 +23,16 @@
                              const load_report& report)
 {
     state& current = m_states[{std::string(service), std::string(organisation)}];
-    adjust(current);
+    adjust(service, current);
     auto it = current.reports.find(upstream);
     if (it == current.reports.end())
         it = current.reports.emplace(std::string(upstream), upstream_view{}).first;
     it->second.report = report;
     ++it->second.answers;
+    service_use& use = m_uses[std::string(service)];
+    close_interval(use);
+    use.sum += static_cast<double>(report.utilisation);
+    use.answers += 1;
 }
 
 std::optional<refusal> entry_throttle::check(std::string_view service, importance level, std::string_view organisation)
@@ -45,28 +49,43 @@
     const auto it = m_states.find({std::string(service), std::string(organisation)});
     if (it == m_states.end())
         return 1;
-    adjust(it->second);
+    adjust(service, it->second);
     return it->second.part[static_cast<std::size_t>(level)];
 }
 
-void entry_throttle::adjust(state& current) const
+void entry_throttle::close_interval(service_use& use) const
+{
+    const time_point now = m_timers.now();
+    if (now - use.started < m_settings.interval)
+        return;
+    // An interval that ended long ago says nothing about the load of now.
+    const bool recent = now - use.started < 2 * m_settings.interval;
+    use = {0, 0, recent && use.answers > 0 ? use.sum / use.answers : 0, now};
+}
+
+double entry_throttle::growth_of(std::string_view service)
+{
+    const auto it = m_uses.find(service);
+    if (it == m_uses.end())
+        return m_settings.unknown_growth;
+    close_interval(it->second);
+    if (it->second.utilisation == 0)
+        return m_settings.unknown_growth;
+    return std::clamp(m_settings.target_utilisation / it->second.utilisation, m_settings.slowest_growth,
+                      m_settings.fastest_growth);
+}
+
+void entry_throttle::adjust(std::string_view service, state& current)
 {
     const time_point now = m_timers.now();
     if (now - current.adjusted < m_settings.interval)
         return;
     const double intervals = std::floor(to_seconds(now - current.adjusted) / to_seconds(m_settings.interval));
     current.adjusted = now;
+    const double growth = std::pow(growth_of(service), intervals);
     double answers = 0;
-    double utilisation = 0;
-    for (const auto& [name, view] : current.reports) {
+    for (const auto& [name, view] : current.reports)
         answers += view.answers;
-        utilisation += view.answers * static_cast<double>(view.report.utilisation);
-    }
-    double growth = std::pow(m_settings.slowest_growth, intervals);
-    if (answers > 0) {
-        growth = std::clamp(m_settings.target_utilisation * answers / std::max(utilisation, 1e-3),
-                            m_settings.slowest_growth, m_settings.fastest_growth);
-    }
     for (const importance level : all_importances) {
         double share = 0;
         for (const auto& [name, view] : current.reports)
@@ -74,7 +93,7 @@
         const bool shed = share < unshed_share * answers;
         double& part = current.part[static_cast<std::size_t>(level)];
         part *= shed ? std::clamp(share / answers * m_settings.headroom, steepest_fall, 1.0) : growth;
-        part = std::clamp(part, m_settings.floor, 1.0);
+        part = std::clamp(part, level >= importance::high ? m_settings.important_floor : m_settings.floor, 1.0);
     }
     current.reports.clear();
 }
--- a/src/plugins/throttle/entrythrottle.h
+++ b/src/plugins/throttle/entrythrottle.h
@@ -21,11 +21,14 @@
     double headroom = 1.05;
     /// While nothing is shed, the admitted part grows towards this utilisation of the busiest hop.
     double target_utilisation = 0.95;
-    /// Bounds of the growth per interval; without reports the lower bound applies.
+    /// Bounds of the growth per interval, and the growth while there are no reports.
     double slowest_growth = 1.05;
-    double fastest_growth = 4;
+    double fastest_growth = 8;
+    double unknown_growth = 1.25;
     /// Least admitted part; requests that probe an overloaded service.
     double floor = 0.01;
+    /// The same for high and critical, which are few and open first after a stall.
+    double important_floor = 0.1;
     /// Retry-After of a refusal; the jitter makes it 0.5 to 1.5 times this.
     duration retry_after{1'000'000};
 };
@@ -58,12 +61,25 @@
         time_point adjusted;
     };
 
-    void adjust(state& current) const;
+    /// Utilisation of the busiest hop below a service, over the answers to all organisations: an organisation that is
+    /// throttled hard gets too few answers of its own.
+    struct service_use {
+        double sum = 0;
+        double answers = 0;
+        /// Mean of the last complete interval; zero without answers.
+        double utilisation = 0;
+        time_point started;
+    };
+
+    void close_interval(service_use& use) const;
+    double growth_of(std::string_view service);
+    void adjust(std::string_view service, state& current);
 
     throttle_settings m_settings;
     timer_service& m_timers;
     random_source& m_random;
     std::map<key, state> m_states;
+    std::map<std::string, service_use, std::less<>> m_uses;
 };
 
 } // namespace mulberry
