Bound the average of piggybacked changes and rebuild the relay tree once for a group of changes

Cause: the probes that verify members carried 700 bytes of changes each. Piggybacked changes now take 1.2 KB/s on average and pushed ones as much. Since the average is bounded, a change is transmitted 4 times for each factor of ten again.

--- a/src/plugins/configuration/configrelay.cpp
+++ b/src/plugins/configuration/configrelay.cpp
@@ -41,6 +41,8 @@
 /// Confirmations of one change come spread over this time.
 constexpr duration confirmation_spread{std::chrono::milliseconds(500)};
 constexpr duration confirmation_period{std::chrono::seconds(30)};
+/// Members change in groups; when 1,400 join at once, a rebuild for each would take most of the processor time.
+constexpr duration rebuild_delay{std::chrono::milliseconds(50)};
 /// A node that pulled within this time is told of changes.
 constexpr duration child_lifetime{std::chrono::seconds(5)};
 
@@ -178,6 +180,7 @@
     std::int64_t m_domain_confirmed = 0;
     time_point m_domain_confirmed_at{};
 
+    timer_id m_rebuild_timer = 0;
     timer_id m_round_timer = 0;
     timer_id m_watchers_timer = 0;
     timer_id m_confirmation_timer = 0;
@@ -203,7 +206,7 @@
 config_relay::implementation::~implementation()
 {
     m_members.remove_listener(*this);
-    for (const timer_id timer : {m_round_timer, m_watchers_timer, m_confirmation_timer})
+    for (const timer_id timer : {m_rebuild_timer, m_round_timer, m_watchers_timer, m_confirmation_timer})
         m_timers.cancel(timer);
     for (const auto& [sequence, pending] : m_pulls)
         m_timers.cancel(pending.timer);
@@ -215,8 +218,12 @@
 {
     if (changed.state != member_state::dead)
         m_age.add_domain(changed.location.failure_domain);
-    if (m_tree.affected_by(changed))
+    if (m_rebuild_timer != 0 || !m_tree.affected_by(changed))
+        return;
+    m_rebuild_timer = m_timers.schedule(rebuild_delay, [this] {
+        m_rebuild_timer = 0;
         rebuild_tree();
+    });
 }
 
 void config_relay::implementation::rebuild_tree()
--- a/src/plugins/membership/gossipqueue.cpp
+++ b/src/plugins/membership/gossipqueue.cpp
@@ -24,16 +24,16 @@
     m_order.insert(position_of(name, queued));
 }
 
-void gossip_queue::take(membership_messages::membership_message& message, std::size_t max_bytes,
-                        unsigned max_transmissions)
+std::size_t gossip_queue::take(membership_messages::membership_message& message, std::size_t max_bytes,
+                               unsigned max_transmissions)
 {
     std::vector<std::string> taken;
     std::size_t bytes = 0;
     for (const position& next : m_order) {
         const entry& queued = m_entries.at(next.name);
-        bytes += queued.bytes;
-        if (bytes > max_bytes)
+        if (bytes + queued.bytes > max_bytes)
             break;
+        bytes += queued.bytes;
         *message.add_changes() = queued.encoded;
         taken.push_back(next.name);
     }
@@ -46,6 +46,7 @@
         }
         m_order.insert(position_of(name, it->second));
     }
+    return bytes;
 }
 
 void gossip_queue::clear()
--- a/src/plugins/membership/gossipqueue.h
+++ b/src/plugins/membership/gossipqueue.h
@@ -12,8 +12,9 @@
 class gossip_queue {
 public:
     void add(const member_change& change);
-    /// Appends changes that were sent least often, up to the number of bytes; drops those sent often enough.
-    void take(membership_messages::membership_message& message, std::size_t max_bytes, unsigned max_transmissions);
+    /// Appends changes that were sent least often, up to the number of bytes; drops those sent often enough. Returns the
+    /// bytes that were added.
+    std::size_t take(membership_messages::membership_message& message, std::size_t max_bytes, unsigned max_transmissions);
     void clear();
     std::size_t size() const { return m_entries.size(); }
 
--- a/src/plugins/membership/membership.cpp
+++ b/src/plugins/membership/membership.cpp
@@ -24,9 +24,10 @@
 constexpr std::string_view log_part = "membership";
 constexpr std::string_view seeds_prefix = "seeds/";
 
-/// Piggybacked changes per message. With two messages sent and two received a second, a long queue costs 2.8 KB/s of
-/// the 9 KB/s that all control traffic may take.
+/// Piggybacked changes per message and on average. Without the average, the probes that verify members after a
+/// partition carried 8 KB/s, of the 9 KB/s that all control traffic may take.
 constexpr std::size_t max_piggyback_bytes = 700;
+constexpr double piggyback_bytes_per_second = 1'200;
 constexpr std::size_t max_records_bytes = 16'384;
 /// Above these sizes a payload is not parsed.
 constexpr std::size_t max_payload_bytes = 262'144;
@@ -34,14 +35,14 @@
 
 /// A change is piggybacked this often for each factor of ten of the fleet. Published SWIM implementations use 4; here
 /// a change is also pushed at once. With 2 and 10% loss, healthy members were declared dead.
-constexpr unsigned transmissions_per_decade = 3;
+constexpr unsigned transmissions_per_decade = 4;
 /// Members to which a change is sent at once. Each receiver does the same once, so 1,400 nodes are reached in six
 /// steps.
 constexpr std::size_t eager_fanout = 4;
 /// Changes that come together are sent together. The rate bounds the bytes that are pushed when a whole domain changes;
 /// an unbounded push took 35 KB/s for the time of a merge.
 constexpr duration eager_delay{std::chrono::milliseconds(20)};
-constexpr double eager_bytes_per_second = 1'500;
+constexpr double eager_bytes_per_second = 1'200;
 /// Buckets whose records one exchange carries; the whole table would take 31 KB/s at 1,400 members after a partition.
 constexpr std::size_t buckets_per_exchange = 4;
 
@@ -120,7 +121,8 @@
     void forget_all();
     void finish_probes();
     void probe_next();
-    void probe(const std::string& target, bool unmonitored);
+    enum class probe_kind : std::uint8_t { regular, of_suspect, of_candidate };
+    void probe(const std::string& target, probe_kind kind);
     void ask_others(std::uint64_t sequence, const pending_probe& pending);
     void probe_suspects();
     void declare_overdue_dead();
@@ -199,6 +201,8 @@
     time_point m_last_tick{};
     time_point m_last_heard{};
     time_point m_next_eager{};
+    double m_piggyback_tokens = static_cast<double>(max_piggyback_bytes);
+    time_point m_piggyback_filled_at{};
     timer_id m_tick_timer = 0;
     timer_id m_anti_entropy_timer = 0;
     timer_id m_store_timer = 0;
@@ -216,6 +220,7 @@
     m_table.put(m_settings.self, 1);
     m_last_tick = m_timers.now();
     m_last_heard = m_timers.now();
+    m_piggyback_filled_at = m_timers.now();
     // Nodes that start together must not probe in step.
     const auto period = static_cast<std::uint64_t>(m_settings.probe_period.count());
     m_tick_timer = m_timers.schedule(duration{static_cast<std::int64_t>(m_random.uniform(period))}, [this] { tick(); });
@@ -358,18 +363,18 @@
         --tries;
         if (m_table.find(target) == nullptr)
             continue;
-        probe(target, false);
+        probe(target, probe_kind::regular);
         --left;
     }
 }
 
-void membership::implementation::probe(const std::string& target, bool unmonitored)
+void membership::implementation::probe(const std::string& target, probe_kind kind)
 {
     const std::uint64_t sequence = ++m_last_sequence;
     pending_probe& pending = m_probes[sequence];
     pending.target = target;
     pending.sent = m_timers.now();
-    pending.unmonitored = unmonitored;
+    pending.unmonitored = kind != probe_kind::regular;
     membership_message message = new_message();
     message.mutable_probe()->set_sequence(sequence);
     const auto* known = m_table.state_of(target);
@@ -382,7 +387,7 @@
         encode(suspicion, *message.add_changes());
     }
     send(target, message);
-    if (unmonitored)
+    if (kind == probe_kind::of_candidate)
         return;
     m_probe_timers[sequence] = m_timers.schedule(m_settings.probe_timeout, [this, sequence] {
         m_probe_timers.erase(sequence);
@@ -409,7 +414,7 @@
         return known == nullptr || !known->suspected_until;
     });
     for (const std::string& name : m_own_suspects)
-        probe(name, true);
+        probe(name, probe_kind::of_suspect);
 }
 
 void membership::implementation::declare_overdue_dead()
@@ -417,7 +422,7 @@
     for (const std::string& name : m_table.overdue(m_timers.now())) {
         if (m_table.state_of(name)->final_probes < max_final_probes) {
             m_table.extend_suspicion(name, m_timers.now() + m_settings.probe_period);
-            probe(name, true);
+            probe(name, probe_kind::of_suspect);
             continue;
         }
         const member* known = m_table.find(name);
@@ -445,7 +450,7 @@
             m_candidates.erase(name);
             continue;
         }
-        probe(name, true);
+        probe(name, probe_kind::of_candidate);
     }
 }
 
@@ -475,7 +480,10 @@
 
 void membership::implementation::try_to_join()
 {
+    // A seed may have become known by its own messages before it was asked for the table.
     std::vector<std::string> names = unknown_seeds();
+    for (std::string& name : random_members(1, {}))
+        names.push_back(std::move(name));
     if (names.empty() && !m_contacts.empty())
         names.push_back(nth(m_contacts, m_random.uniform(m_contacts.size())).first);
     if (names.empty())
@@ -602,7 +610,11 @@
 
 void membership::implementation::send(std::string_view to, membership_message& message)
 {
-    m_queue.take(message, max_piggyback_bytes, max_transmissions());
+    const double earned = to_seconds(m_timers.now() - m_piggyback_filled_at) * piggyback_bytes_per_second;
+    m_piggyback_tokens = std::min(m_piggyback_tokens + earned, static_cast<double>(max_piggyback_bytes));
+    m_piggyback_filled_at = m_timers.now();
+    const std::size_t bytes = m_queue.take(message, static_cast<std::size_t>(m_piggyback_tokens), max_transmissions());
+    m_piggyback_tokens -= static_cast<double>(bytes);
     m_link.send(to, control_channel::membership, message.SerializeAsString());
 }
 
--- a/src/tools/controlexperiment/main.cpp
+++ b/src/tools/controlexperiment/main.cpp
@@ -32,6 +32,7 @@
 /// What HTTP/2 and TLS add to a message on a kept connection: two frame headers, indexed header fields, two TLS
 /// records.
 constexpr double frame_bytes = 80;
+constexpr std::size_t large_fleet = 100;
 constexpr std::size_t service_documents = 20;
 constexpr std::size_t service_document_bytes = 4'000;
 constexpr std::size_t organisations_document_bytes = 64'000;
@@ -141,7 +142,8 @@
         for (std::size_t i = 0; i < service_documents; ++i)
             change_document(i);
         m_fleet.write(0, std::string(organisations_document_key), std::string(organisations_document_bytes, 'k'));
-        m_fleet.timers().advance(seconds(45));
+        // The gossip of a whole fleet that starts at once takes this long to end.
+        m_fleet.timers().advance(m_fleet.size() > large_fleet ? minutes(6) : minutes(1));
     }
 
     void change_document(std::size_t index)
