--- a/src/app/mulberryd/daemon.cpp
+++ b/src/app/mulberryd/daemon.cpp
@@ -250,10 +250,9 @@
 {
     m_caller_server->stop([this] {
         m_nested_server->stop([this] {
-            if (m_operator_server)
-                m_operator_server->stop([this] { close_peers(); });
-            else
-                close_peers();
+            if (!m_operator_server)
+                return close_peers();
+            m_operator_server->stop([this] { close_peers(); });
         });
     });
 }
--- a/src/app/mulberryd/daemonmetrics.cpp
+++ b/src/app/mulberryd/daemonmetrics.cpp
@@ -47,9 +47,10 @@
         const auto reason = std::string(to_string(static_cast<retry_refusal>(i)));
         m_retry_refusals[i] = &m_retries.Add({{"decision", "refused"}, {"reason", reason}});
     }
-    for (const importance level : all_importances)
+    for (const importance level : all_importances) {
         m_served_counters[static_cast<std::size_t>(level)] =
             &m_served.Add({{"importance", std::string(to_string(level))}});
+    }
     for (std::size_t i = 0; i < m_violation_counters.size(); ++i) {
         const auto name = std::string(to_string(static_cast<invariant>(i)));
         m_violation_counters[i] = &m_violations.Add({{"invariant", name}});
--- a/src/app/mulberryd/operatorapi.cpp
+++ b/src/app/mulberryd/operatorapi.cpp
@@ -114,17 +114,19 @@
                                   const responder_ptr& responder)
 {
     const auto expected = parse_if_match(find_header(request.headers, "if-match"));
-    if (!expected)
+    if (!expected) {
         return answer_error(*responder, status_bad_request, "bad_request",
                             "A write needs If-Match with the revision that it replaces, or 0 for a new document.");
+    }
     write_request write;
     write.key = std::string(documents_prefix).append(key);
     write.expected_revision = *expected;
     if (request.method == "PUT")
         write.content = request.body;
-    if (!m_parts.owner.relay().is_watcher())
+    if (!m_parts.owner.relay().is_watcher()) {
         return pass_on(write, m_parts.owner.relay().watchers(m_parts.owner.settings().location.failure_domain),
                        responder);
+    }
     m_parts.owner.writer().write(std::move(write), [responder](leaf::result<write_result> result) {
         const write_answer answer =
             result ? answer_of(*result) : answer_of(error_of(std::move(result), write_failure{}));
@@ -142,10 +144,11 @@
         watchers.pop_back();
         address = m_parts.addresses.find_address(watcher);
     }
-    if (!address)
+    if (!address) {
         return answer_json(
             *responder, status_unavailable,
             {{"error", "no_watcher"}, {"message", "No watcher of this domain can be reached."}, {"written", false}});
+    }
     m_parts.peers.call(
         watcher, *address, document_write_path, encode_write(write),
         [this, write, watchers, responder](leaf::result<std::string> result) {
@@ -218,9 +221,10 @@
                       static_cast<double>(owner.account().bytes()));
     metrics.set_gauge("mulberry_idempotency_records", "Records of non-idempotent requests at this home.",
                       static_cast<double>(owner.guard().once().size()));
-    for (const shares::organisation_status& share : owner.rates().status().organisations)
+    for (const shares::organisation_status& share : owner.rates().status().organisations) {
         metrics.set_gauge("mulberry_share_rate", "Requests per second that this node may admit now.", share.held_rate,
                           "organisation", share.organisation);
+    }
     for (const control_channel channel : {control_channel::membership, control_channel::configuration,
                                           control_channel::shares, control_channel::account}) {
         const control_traffic traffic = m_parts.control.traffic(channel);
--- a/src/app/node/localtransport.cpp
+++ b/src/app/node/localtransport.cpp
@@ -48,8 +48,8 @@
     if (node.empty())
         return;
     if (node.mapped().remote != 0)
-        m_network.cancel(node.mapped().remote);
-    else if (node.mapped().local.sequence != 0)
+        return m_network.cancel(node.mapped().remote);
+    if (node.mapped().local.sequence != 0)
         m_guard.cancel(node.mapped().local);
 }
 
--- a/src/app/node/policyview.cpp
+++ b/src/app/node/policyview.cpp
@@ -109,9 +109,10 @@
         organisations = std::move(*parsed);
     }
     // Entries that cannot be used are left out; the others are in force, so that a withdrawal is never held up.
-    if (auto replaced = m_keys.replace(keys_of(organisations)); !replaced)
+    if (auto replaced = m_keys.replace(keys_of(organisations)); !replaced) {
         log_error("policy", "Some keys at revision {} are not usable: {}.", document.revision,
                   to_string(error_of(std::move(replaced), key_error::library_failure)));
+    }
     log_info("policy", "{} organisations and {} keys are in force at revision {}.", organisations.organisations.size(),
              m_keys.size(), document.revision);
     if (m_organisations_changed)
