--- /dev/null
+++ b/src/tools/mulberryctl/textfile.cpp
@@ -0,0 +1,21 @@
+#include "tools/mulberryctl/textfile.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+namespace mulberry {
+
+std::optional<std::string> read_text_file(const std::string& name)
+{
+    std::error_code error;
+    if (std::filesystem::is_directory(name, error))
+        return std::nullopt;
+    std::ifstream stream(name, std::ios::binary);
+    if (!stream)
+        return std::nullopt;
+    std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+    return stream.bad() ? std::nullopt : std::optional(std::move(text));
+}
+
+} // namespace mulberry
