--- a/src/plugins/admission/admissionqueue.cpp
+++ b/src/plugins/admission/admissionqueue.cpp
@@ -51,7 +51,7 @@
     void refuse_deadline(const detail::waiting_request& item);
     void enqueue(detail::waiting_request item);
     void on_removed(const detail::waiting_request& item);
-    void make_room();
+    void make_room(importance newcomer);
 
     bool reachable(time_point deadline, duration wait) const;
     duration expected_wait(importance level) const;
@@ -81,6 +81,7 @@
 void admission_queue::implementation::offer(admission_request request)
 {
     const attempt_id id = request.id;
+    const importance level = request.level;
     if (m_running.contains(id) || m_queue.contains(id))
         return m_listener.on_refused(id, {refusal_reason::duplicate_attempt, outcome::unknown, duration{0}});
     if (m_leaving)
@@ -91,7 +92,7 @@
         return m_listener.on_refused(id, not_run(refusal_reason::deadline_unreachable));
     enqueue({std::move(request), m_timers.now()});
     admit_while_free();
-    make_room();
+    make_room(level);
     arm_expiry();
 }
 
@@ -202,15 +203,15 @@
     m_expiry_timer = 0;
 }
 
-void admission_queue::implementation::make_room()
+void admission_queue::implementation::make_room(importance newcomer)
 {
     while (m_queue.size() > queue_limit()) {
         const auto item = m_queue.evict();
         if (!item)
             return;
         on_removed(*item);
-        const bool same_importance = item->request.level == m_queue.lowest();
-        shed(*item, same_importance ? refusal_reason::queue_full : refusal_reason::importance_shed);
+        const bool outranked = item->request.level < newcomer || item->request.level < m_queue.lowest();
+        shed(*item, outranked ? refusal_reason::importance_shed : refusal_reason::queue_full);
     }
 }
 
--- a/src/plugins/routing/upstreamobservation.cpp
+++ b/src/plugins/routing/upstreamobservation.cpp
@@ -78,14 +78,18 @@
     m_refused_share += (refused - m_refused_share) * refusal_gain;
 }
 
+bool upstream_observation::is_known(time_point now) const
+{
+    return m_latency_weight * std::exp(-to_seconds(now - m_updated) / latency_time_constant_s) > least_weight;
+}
+
 duration upstream_observation::expected_latency(time_point now, duration typical) const
 {
     const double factor = std::exp(-to_seconds(now - m_updated) / latency_time_constant_s);
-    double latency = m_latency_weight * factor > least_weight ? m_latency_sum / m_latency_weight
-                                                              : static_cast<double>(typical.count());
+    double latency = is_known(now) ? m_latency_sum / m_latency_weight : static_cast<double>(typical.count());
     if (m_in_flight > 0)
         latency = std::max(latency, static_cast<double>((now - m_last_progress).count()));
-    return duration{static_cast<std::int64_t>(latency + m_refused_share * factor * refusal_cost_us)};
+    return duration{std::llround(latency + m_refused_share * factor * refusal_cost_us)};
 }
 
 double upstream_observation::cost(time_point now, duration typical) const
--- a/src/plugins/routing/upstreamobservation.h
+++ b/src/plugins/routing/upstreamobservation.h
@@ -23,6 +23,8 @@
     double cost(time_point now, duration typical) const;
     std::uint32_t in_flight() const { return m_in_flight; }
 
+    /// Whether there are answers recent enough for a latency.
+    bool is_known(time_point now) const;
     /// Whether an answer came within the last seconds.
     bool answers(time_point now) const;
     bool is_ejected(time_point now) const { return now < m_ejected_until; }
--- a/src/plugins/routing/upstreamselector.cpp
+++ b/src/plugins/routing/upstreamselector.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <utility>
@@ -21,8 +22,10 @@
 /// Part of the calls that go farther away per relative gain in latency. Sending all of them at once would overload the
 /// farther upstreams before their latency shows it.
 constexpr double spill_per_gain = 2;
-/// Part by which one answer moves the typical latency of a service.
-constexpr double typical_gain = 0.01;
+/// The typical latency of a service must lag behind the observations of one upstream that has become slow.
+constexpr double typical_time_constant_s = 10;
+/// Part of the calls that try an upstream of another failure domain without recent answers.
+constexpr double probed_part = 0.01;
 
 } // namespace
 
@@ -59,10 +62,12 @@
     struct service_view {
         candidate_list subset;
         double typical_us = 0;
+        time_point typical_updated;
     };
 
     bool is_worth(duration near, duration far, duration gain);
     duration typical_latency(std::string_view service) const;
+    void note_typical(service_view& view, duration latency);
     void set_link_rate(std::span<const upstream_info> upstreams);
     candidate_list usable(std::string_view service, const routing_context& context);
     void leave_out_ejected(candidate_list& candidates) const;
@@ -141,7 +146,10 @@
             continue;
         const candidate chosen = better_of_two(tier, typical);
         const duration latency = chosen->second.observed.expected_latency(now, typical);
-        if (best != nullptr && !is_worth(best_latency, latency, gains[static_cast<std::size_t>(away)]))
+        const duration gain = gains[static_cast<std::size_t>(away)];
+        const bool probe = away == detail::distance::same_region && !chosen->second.observed.is_known(now) &&
+                           m_random.unit() < probed_part;
+        if (best != nullptr && !probe && !is_worth(best_latency, latency, gain))
             continue;
         best = chosen;
         best_latency = latency;
@@ -232,13 +240,20 @@
     if (subject == nullptr)
         return;
     subject->observed.on_answer(m_timers.now(), latency, report.concurrency_limit);
-    double& typical_us = m_services[subject->service].typical_us;
-    const double sample_us = static_cast<double>(latency.count());
-    typical_us = typical_us == 0 ? sample_us : typical_us + (sample_us - typical_us) * typical_gain;
+    note_typical(m_services[subject->service], latency);
     if (subject->away == detail::distance::other_region)
         m_budget.take(answer_bytes);
 }
 
+void upstream_selector::implementation::note_typical(service_view& view, duration latency)
+{
+    const time_point now = m_timers.now();
+    const double sample_us = static_cast<double>(latency.count());
+    const double kept = std::exp(-to_seconds(now - view.typical_updated) / typical_time_constant_s);
+    view.typical_us = view.typical_us == 0 ? sample_us : sample_us + (view.typical_us - sample_us) * kept;
+    view.typical_updated = now;
+}
+
 void upstream_selector::implementation::on_refused(std::string_view name)
 {
     if (upstream* subject = find(name))
--- a/src/plugins/throttle/entrythrottle.cpp
+++ b/src/plugins/throttle/entrythrottle.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Reports of less shedding than this are noise.
-constexpr double unshed_share = 0.98;
+constexpr double unshed_share = 0.92;
 /// Smallest factor of one adjustment, because a report may describe a short peak.
 constexpr double steepest_fall = 0.5;
 
@@ -82,7 +82,7 @@
         return;
     const double intervals = std::floor(to_seconds(now - current.adjusted) / to_seconds(m_settings.interval));
     current.adjusted = now;
-    const double growth = std::pow(growth_of(service), intervals);
+    const double growth = growth_of(service);
     double answers = 0;
     for (const auto& [name, view] : current.reports)
         answers += view.answers;
@@ -92,7 +92,10 @@
             share += view.answers * static_cast<double>(admitted_share_of(view.report, level));
         const bool shed = share < unshed_share * answers;
         double& part = current.part[static_cast<std::size_t>(level)];
-        part *= shed ? std::clamp(share / answers * m_settings.headroom, steepest_fall, 1.0) : growth;
+        // The reports describe the first of the intervals; nothing is known of the others.
+        part *= shed ? std::clamp(share / answers * m_settings.headroom, steepest_fall, 1.0) *
+                           std::pow(growth, intervals - 1)
+                     : std::pow(growth, intervals);
         part = std::clamp(part, level >= importance::high ? m_settings.important_floor : m_settings.floor, 1.0);
     }
     current.reports.clear();
