Compare failure domains of a region by load instead of latency alone

Cause: spilling by the difference of smoothed latencies lagged, so that guards of one domain shed while those of the other had free slots. Change: another failure domain of the own region is used when latency times calls in flight is lower by 1.25; only the other region is compared by latency gain.

--- a/src/plugins/routing/upstreamselector.cpp
+++ b/src/plugins/routing/upstreamselector.cpp
@@ -24,8 +24,8 @@
 constexpr double spill_per_gain = 2;
 /// The typical latency of a service must lag behind the observations of one upstream that has become slow.
 constexpr double typical_time_constant_s = 10;
-/// Part of the calls that try an upstream of another failure domain without recent answers.
-constexpr double probed_part = 0.01;
+/// How many times the load of an upstream of another failure domain that of the own one is before calls go there.
+constexpr double domain_preference = 1.25;
 
 } // namespace
 
@@ -65,6 +65,7 @@
         time_point typical_updated;
     };
 
+    bool is_less_loaded(const upstream_map::value_type& far, const upstream_map::value_type& near, duration typical);
     bool is_worth(duration near, duration far, duration gain);
     duration typical_latency(std::string_view service) const;
     void note_typical(service_view& view, duration latency);
@@ -147,9 +148,10 @@
         const candidate chosen = better_of_two(tier, typical);
         const duration latency = chosen->second.observed.expected_latency(now, typical);
         const duration gain = gains[static_cast<std::size_t>(away)];
-        const bool probe = away == detail::distance::same_region && !chosen->second.observed.is_known(now) &&
-                           m_random.unit() < probed_part;
-        if (best != nullptr && !probe && !is_worth(best_latency, latency, gain))
+        const bool is_better = away == detail::distance::same_region
+                                   ? best != nullptr && is_less_loaded(*chosen, *best, typical)
+                                   : best != nullptr && is_worth(best_latency, latency, gain);
+        if (best != nullptr && !is_better)
             continue;
         best = chosen;
         best_latency = latency;
@@ -159,6 +161,14 @@
     return best->first;
 }
 
+bool upstream_selector::implementation::is_less_loaded(const upstream_map::value_type& far,
+                                                       const upstream_map::value_type& near, duration typical)
+{
+    const time_point now = m_timers.now();
+    return far.second.observed.cost(now, typical + m_settings.domain_gain) * domain_preference <
+           near.second.observed.cost(now, typical);
+}
+
 bool upstream_selector::implementation::is_worth(duration near, duration far, duration gain)
 {
     const double excess = to_seconds(near - far - gain);
