--- a/src/plugins/throttle/entrythrottle.h
+++ b/src/plugins/throttle/entrythrottle.h
@@ -16,7 +16,7 @@
 
 struct throttle_settings {
     /// How often the admitted part is adjusted; longer than an answer takes to show the effect of a change.
-    duration interval{300'000};
+    duration interval{200'000};
     /// Demand let through over what the guards admit, so that spare capacity is found and used.
     double headroom = 1.05;
     /// While nothing is shed, the admitted part grows towards this utilisation of the busiest hop.
@@ -26,7 +26,7 @@
     double fastest_growth = 8;
     double unknown_growth = 1.25;
     /// Least admitted part; requests that probe an overloaded service.
-    double floor = 0.01;
+    double floor = 0.03;
     /// The same for high and critical, which are few and open first after a stall.
     double important_floor = 0.1;
     /// Retry-After of a refusal; the jitter makes it 0.5 to 1.5 times this.
