--- a/tests/auto/libs/peer/tst_peerfaults.cpp
+++ b/tests/auto/libs/peer/tst_peerfaults.cpp
@@ -183,6 +183,24 @@
     }
 }
 
+// Guards against a handler that works on for a caller that vanished without closing its connection.
+BOOST_FIXTURE_TEST_CASE(silent_caller_is_given_up, fault_fixture)
+{
+    const tls_identity identity = authority.identity("faulty");
+    std::vector<std::shared_ptr<peer_responder>> held;
+    int notices = 0;
+    handler.on_request = [&](const peer_request&, std::shared_ptr<peer_responder> responder) {
+        responder->on_cancelled([&] { ++notices; });
+        held.push_back(std::move(responder));
+    };
+    const std::string bytes =
+        std::string(raw::preface) + raw::settings() + raw::request(1, "1") + raw::data(1, "x", true);
+    const raw_client silent(identity.client_context(), address, bytes, false);
+    run_until([&] { return notices == 1; });
+    BOOST_TEST(server->counters().connections_lost == 1U);
+    BOOST_TEST(handler.calls == 1);
+}
+
 // Guards against callers without a valid certificate of our authority that get past the handshake.
 BOOST_FIXTURE_TEST_CASE(strangers_get_nothing, fault_fixture)
 {
