Destroy the servers of peerlatency on their own loop

The servers were reset on their loop while the main thread destroyed the same pointers; one run of three aborted in malloc. Start and reset now run on the server's loop and are waited for.

--- a/src/tools/peerlatency/main.cpp
+++ b/src/tools/peerlatency/main.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <future>
 #include <iostream>
 #include <thread>
 #include <vector>
@@ -55,6 +56,16 @@
 
     event_loop& loop() { return m_loop; }
 
+    /// Runs a function on the loop and waits for its result.
+    template <typename Function>
+    auto run_there(Function function)
+    {
+        std::packaged_task<std::invoke_result_t<Function>()> task(std::move(function));
+        auto result = task.get_future();
+        m_loop.post(std::move(task));
+        return result.get();
+    }
+
 private:
     event_loop m_loop;
     std::thread m_thread;
@@ -116,7 +127,7 @@
     loop_thread other_side;
     event_loop loop;
     auto server = std::make_unique<peer_server>(other_side.loop(), authority.identity("server"), handler);
-    const std::uint16_t port = server->start("127.0.0.1", 0).value();
+    const std::uint16_t port = other_side.run_there([&server] { return server->start("127.0.0.1", 0).value(); });
     const std::string address = fmt::format("127.0.0.1:{}", port);
     const std::string payload(settings.payload_bytes, 'x');
     peer_client client(loop, authority.identity("client"));
@@ -125,7 +136,7 @@
             "server", address, "/echo", payload,
             [done = std::move(done)](const leaf::result<std::string>& answer) { done(static_cast<bool>(answer)); });
     }).run("peer call");
-    other_side.loop().post([&server] { server.reset(); });
+    other_side.run_there([&server] { server.reset(); });
 }
 
 void measure_http(const options& settings)
@@ -134,7 +145,7 @@
     loop_thread other_side;
     event_loop loop;
     auto server = std::make_unique<http_server>(other_side.loop(), handler);
-    const std::uint16_t port = server->start().value();
+    const std::uint16_t port = other_side.run_there([&server] { return server->start().value(); });
     http_request request;
     request.method = "POST";
     request.url = fmt::format("http://127.0.0.1:{}/echo", port);
@@ -145,7 +156,7 @@
             done(static_cast<bool>(answer));
         });
     }).run("http call");
-    other_side.loop().post([&server] { server.reset(); });
+    other_side.run_there([&server] { server.reset(); });
 }
 
 } // namespace
