Start anew from the document in force after a conflict

The daemon reads documents from its view, which lags behind the store. A grant right after another change would have met the same conflict in every attempt, and a lost answer would have stayed unclear although the write had taken effect. The tool now continues from the document that a conflict carries, and reads back for up to 2 s.

--- a/src/libs/documents/documentreference.h
+++ b/src/libs/documents/documentreference.h
@@ -8,7 +8,7 @@
 std::string service_document_reference();
 std::string organisations_document_reference();
 
-/// The whole of docs/reference.md: both documents and the daemon's settings.
+/// Both documents and the daemon's settings in one page.
 std::string reference_page();
 
 } // namespace mulberry
--- a/src/tools/mulberryctl/daemoncommands.cpp
+++ b/src/tools/mulberryctl/daemoncommands.cpp
@@ -149,24 +149,28 @@
 command_report daemon_commands::change_organisations(const document_edit& edit, duration longest_wait)
 {
     const std::string name(organisations_document_name);
+    auto found = m_api.read(name);
+    if (!found)
+        return failure_report(std::move(found));
+    std::optional<stored_document> base = std::move(*found);
     for (int attempt = 0; attempt < most_attempts; ++attempt) {
-        auto found = m_api.read(name);
-        if (!found)
-            return failure_report(std::move(found));
-        if (!*found)
+        if (!base)
             return message_report(exit_code::refused, "there is no organisations document");
-        const document_errors errors = check_document(name, (*found)->content, name);
+        const document_errors errors = check_document(name, base->content, name);
         if (!errors.errors.empty())
             return invalid_report(errors);
         command_report failure;
-        const auto wanted = edit((*found)->content, failure);
+        const auto wanted = edit(base->content, failure);
         if (!wanted)
             return failure;
-        auto outcome = m_api.write(name, *wanted, (*found)->revision);
+        auto outcome = m_api.write(name, *wanted, base->revision);
         if (!outcome)
             return failure_report(std::move(outcome));
-        if (!outcome->accepted)
+        if (!outcome->accepted) {
+            // Newer than what a read gives, which comes from the daemon's view.
+            base = std::move(outcome->current);
             continue;
+        }
         command_report report =
             message_report(exit_code::ok, fmt::format("accepted as revision {}", outcome->revision));
         add_confirmations(report, outcome->revision, longest_wait);
--- a/src/tools/mulberryctl/daemoncommands.h
+++ b/src/tools/mulberryctl/daemoncommands.h
@@ -23,8 +23,8 @@
     command_report withdraw(const std::string& organisation, const std::string& key_id, duration longest_wait);
     command_report explain(const std::string& request_id);
 
-    /// Changes the organisations document; reads it again after a conflict. The edit gives the new text, or fails with
-    /// a report.
+    /// Changes the organisations document; starts anew from the document in force after a conflict. The edit gives the
+    /// new text, or fails with a report.
     using document_edit = std::function<std::optional<std::string>(const std::string& text, command_report& failure)>;
     command_report change_organisations(const document_edit& edit, duration longest_wait);
 
--- a/src/tools/mulberryctl/main.cpp
+++ b/src/tools/mulberryctl/main.cpp
@@ -37,8 +37,9 @@
     if (credential.empty())
         return message_report(exit_code::usage, line.credential_file + ": no credential can be read");
     http_caller caller(line.daemon_url, line.timeout, line.ca_file);
-    operators_api api(caller, credential);
-    daemon_commands commands(api, [](duration pause) { std::this_thread::sleep_for(pause); });
+    const auto wait = [](duration pause) { std::this_thread::sleep_for(pause); };
+    operators_api api(caller, credential, wait);
+    daemon_commands commands(api, wait);
     return commands.run(line);
 }
 
--- a/src/tools/mulberryctl/operatorsapi.cpp
+++ b/src/tools/mulberryctl/operatorsapi.cpp
@@ -18,6 +18,10 @@
 constexpr int status_conflict = 409;
 constexpr int first_server_error_status = 500;
 
+/// Together longer than a view lags behind the store while the domain is connected.
+constexpr int most_reads_back = 10;
+constexpr duration read_back_period = std::chrono::milliseconds(200);
+
 template <typename Result>
 leaf::result<Result> failure(exit_code code, std::string message, json details = nullptr)
 {
@@ -74,8 +78,8 @@
 
 } // namespace
 
-operators_api::operators_api(http_transport& transport, std::string credential)
-    : m_transport(transport), m_credential(std::move(credential))
+operators_api::operators_api(http_transport& transport, std::string credential, std::function<void(duration)> wait)
+    : m_transport(transport), m_credential(std::move(credential)), m_wait(std::move(wait))
 {
 }
 
@@ -157,18 +161,23 @@
 leaf::result<write_outcome> operators_api::resolve(std::string_view name, std::string_view content,
                                                    std::int64_t expected_revision, const std::string& reason)
 {
-    auto found = read(name);
-    const std::string unknown =
-        fmt::format("{}; the change may be in force, read the document before another try", reason);
-    if (!found)
-        return failure<write_outcome>(exit_code::unreachable, unknown);
-    const std::int64_t revision = *found ? (*found)->revision : 0;
-    if (*found && (*found)->content == content && revision != expected_revision)
-        return write_outcome{true, revision, std::nullopt};
-    // The write may still be on its way.
-    if (revision == expected_revision)
-        return failure<write_outcome>(exit_code::unreachable, unknown);
-    return write_outcome{false, revision, std::move(*found)};
+    for (int attempt = 0; attempt < most_reads_back; ++attempt) {
+        if (attempt > 0)
+            m_wait(read_back_period);
+        auto found = read(name);
+        if (!found)
+            continue;
+        const std::int64_t revision = *found ? (*found)->revision : 0;
+        // The write may still be on its way, or not yet in the daemon's view.
+        if (revision <= expected_revision)
+            continue;
+        if ((*found)->content == content)
+            return write_outcome{true, revision, std::nullopt};
+        return write_outcome{false, revision, std::move(*found)};
+    }
+    return failure<write_outcome>(
+        exit_code::unreachable,
+        fmt::format("{}; the change may be in force, read the document before another try", reason));
 }
 
 leaf::result<std::vector<std::string>> operators_api::unconfirmed(std::int64_t revision)
--- a/src/tools/mulberryctl/operatorsapi.h
+++ b/src/tools/mulberryctl/operatorsapi.h
@@ -4,6 +4,7 @@
 #include "tools/mulberryctl/commandreport.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,11 +45,13 @@
 /// Failures have {"message": "..."}; with "written": false a 5xx of a PUT certainly had no effect.
 class operators_api {
 public:
-    operators_api(http_transport& transport, std::string credential);
+    /// The wait function pauses between two reads that look for a write without a clear answer.
+    operators_api(http_transport& transport, std::string credential, std::function<void(duration)> wait);
 
     leaf::result<std::optional<stored_document>> read(std::string_view name);
 
-    /// Finds out by a read whether a write without a clear answer took effect. Fails with exit_code::unreachable if
+    /// Finds out by reads whether a write without a clear answer took effect; the daemon reads from its own view, which
+    /// may lag behind the store. Fails with exit_code::unreachable if
     /// that remains unknown.
     leaf::result<write_outcome> write(std::string_view name, std::string_view content, std::int64_t expected_revision);
 
@@ -74,6 +77,7 @@
 
     http_transport& m_transport;
     std::string m_credential;
+    std::function<void(duration)> m_wait;
 };
 
 } // namespace mulberry
--- a/tests/auto/tools/mulberryctl/tst_mulberryctl.cpp
+++ b/tests/auto/tools/mulberryctl/tst_mulberryctl.cpp
@@ -56,8 +56,8 @@
 struct ctl_fixture {
     scratch_folder folder;
     fake_daemon daemon;
-    operators_api api{daemon, "secret"};
     int waits = 0;
+    operators_api api{daemon, "secret", [this](duration) { ++waits; }};
     daemon_commands commands{api, [this](duration) { ++waits; }};
 
     command_report run(std::vector<std::string> arguments)
@@ -255,7 +255,7 @@
 
 BOOST_FIXTURE_TEST_CASE(wrong_credential_is_refused, ctl_fixture)
 {
-    operators_api other(daemon, "guess");
+    operators_api other(daemon, "guess", [](duration) {});
     daemon_commands others(other, [](duration) {});
     ctl_command_line line;
     line.command = "get";
