Default to the own failure domain when none are listed

Cause: a missing list of domains would have been called. Change: the service falls back to its own domain.

--- a/src/plugins/shares/shareservice.cpp
+++ b/src/plugins/shares/shareservice.cpp
@@ -32,6 +32,8 @@
     : m_settings(std::move(settings))
 {
     m_settings.groups = std::max(m_settings.groups, 1U);
+    if (!m_settings.failure_domains)
+        m_settings.failure_domains = [this] { return std::vector{m_settings.failure_domain}; };
     for (std::uint32_t number = 0; number < m_settings.groups; ++number)
         m_groups.push_back(std::make_unique<share_group>(m_settings, number, timers, random, link, store));
 }
--- a/src/plugins/shares/sharesettings.h
+++ b/src/plugins/shares/sharesettings.h
@@ -14,7 +14,8 @@
 struct share_settings {
     node_id node;
     std::string failure_domain;
-    /// All failure domains of the fleet, this node's own included; called at every change of the pool.
+    /// All failure domains of the fleet, this node's own included; called at every change of the pool. Without it, the
+    /// own domain is the only one.
     std::function<std::vector<std::string>()> failure_domains;
     /// Number of pool documents; all nodes must use the same number.
     std::uint32_t groups = 1;
