--- a/src/tools/hoplatency/main.cpp
+++ b/src/tools/hoplatency/main.cpp
@@ -100,8 +100,8 @@
     po::options_description description("Compares the latency of a direct call with one through a daemon");
     description.add_options()("help", "Shows this text.")("direct", po::value(&wanted.direct)->required(),
                                                           "URL at the upstream.")(
-        "through", po::value(&wanted.through)->required(), "URL at the entry.")(
-        "key", po::value(&wanted.key)->default_value(""), "Key of an organisation.")(
+        "through", po::value(&wanted.through)->required(),
+        "URL at the entry.")("key", po::value(&wanted.key)->default_value(""), "Key of an organisation.")(
         "count", po::value(&wanted.count)->default_value(wanted.count), "Requests of each kind.");
     try {
         po::variables_map values;
--- a/tests/auto/docs/tst_docs.cpp
+++ b/tests/auto/docs/tst_docs.cpp
@@ -47,8 +47,7 @@
                        "| `" + std::string(to_string(reason)) + "` | " + std::to_string(http_status(reason)) + " |");
     }
     for (int i = 0; i < static_cast<int>(retry_refusal::count); ++i)
-        check_contains("reference/counters.md",
-                       "| `" + std::string(to_string(static_cast<retry_refusal>(i))) + "` |");
+        check_contains("reference/counters.md", "| `" + std::string(to_string(static_cast<retry_refusal>(i))) + "` |");
     for (int i = 0; i < static_cast<int>(invariant::count); ++i)
         check_contains("reference/counters.md", "| `" + std::string(to_string(static_cast<invariant>(i))) + "` |");
 }
