Describe domain_gain as it is used

Cause: it no longer decides between failure domains, only stands in for missing answers. Change: the comment.

--- a/src/plugins/routing/upstreamselector.h
+++ b/src/plugins/routing/upstreamselector.h
@@ -30,7 +30,8 @@
 
 struct routing_settings {
     std::size_t subset_size = 8;
-    /// Expected gain that justifies another failure domain of the region: twice the one-way latency between them.
+    /// Assumed on top of the typical latency for an upstream of another failure domain without recent answers: twice
+    /// the one-way latency between them.
     duration domain_gain{3'000};
     /// Expected gain that justifies the other region; twice the one-way latency between the regions.
     duration region_gain{40'000};
