Wait 60 ms for a token, so that both regions' tokens count

Cause: a request waits 20 ms, but a token of the other region takes about 41 ms.

Retries know the importance of their request, so that the reserve of the budget for important requests applies.

--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -225,7 +225,8 @@
 
 void node::on_member_changed(const member& changed)
 {
-    if (changed.state == member_state::dead || changed.state == member_state::leaving)
+    // A leaving keeper gives up its role itself.
+    if (changed.state == member_state::dead)
         m_rates->on_member_dead(changed.id.name);
     update_selector();
 }
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -349,7 +349,9 @@
 void entry_service::learn(const pending& request, const call_answer& answer)
 {
     const duration latency = m_parts.timers.now() - request.sent;
-    if (answer.result == outcome::ran)
+    if (answer.result != outcome::ran && answer.failed_below)
+        m_parts.selector.on_abandoned(request.upstream);
+    else if (answer.result == outcome::ran)
         m_parts.selector.on_answer(request.upstream, latency, answer.load, size_of(answer.headers, answer.body));
     else if (answer.result == outcome::not_run)
         m_parts.selector.on_refused(request.upstream);
@@ -400,6 +402,7 @@
 {
     failed_attempt failed;
     failed.failure = failure;
+    failed.level = request->level;
     // Attempts under one idempotency key go to its home, which answers a repeated one from its record.
     failed.idempotent = request->matched.idempotent || request->once_key.has_value();
     failed.next_hop_failed = !below;
--- a/src/plugins/shares/sharesettings.h
+++ b/src/plugins/shares/sharesettings.h
@@ -20,8 +20,9 @@
     /// Number of pool documents; all nodes must use the same number.
     std::uint32_t groups = 1;
 
-    /// How long a request waits for a grant before it is refused.
-    duration grant_wait = std::chrono::milliseconds(20);
+    /// How long a request waits for a grant before it is refused. A token borrowed from the other region takes about
+    /// 41 ms; with 20 ms only the tokens of the own region could be used.
+    duration grant_wait = std::chrono::milliseconds(60);
     /// Interval of a node's reports to its keeper.
     duration report_interval = std::chrono::seconds(10);
     duration grant_lease = std::chrono::minutes(5);
--- a/tests/auto/app/node/tst_node.cpp
+++ b/tests/auto/app/node/tst_node.cpp
@@ -1,5 +1,6 @@
 #include "auto/app/node/testfleet.h"
 
+#include <map>
 #include <optional>
 
 #include <boost/test/unit_test.hpp>
@@ -215,6 +216,41 @@
     BOOST_TEST(*cut == 0U);
 }
 
+// Guards against requests within the rate that are refused because a stopping node kept the shares of its domain: in
+// the demo one of 20 orders got 429 while the domain's keeper stopped.
+BOOST_FIXTURE_TEST_CASE(rolling_restart_refuses_nothing, fleet_fixture)
+{
+    const std::vector<std::string> names = fleet.names();
+    int sent = 0;
+    std::map<int, int> statuses;
+    const auto send_for = [&](duration interval) {
+        for (const time_point end = fleet.timers().now() + interval; fleet.timers().now() < end;) {
+            for (const std::string& name : names) {
+                if (!fleet.is_running(name) || !fleet.at(name).ready() || fleet.at(name).drainer().draining())
+                    continue;
+                fleet.send(name, make_request(fleet.key_of("band"), "s" + std::to_string(++sent), true),
+                           [&](const caller_answer& answer) { ++statuses[answer.status]; });
+            }
+            fleet.run(100ms);
+        }
+    };
+    send_for(5s);
+    for (const std::string& name : names) {
+        bool stopped = false;
+        fleet.at(name).drain([&](std::size_t) { stopped = true; });
+        while (!stopped)
+            send_for(100ms);
+        fleet.stop(name);
+        send_for(2s);
+        fleet.start(name);
+        send_for(8s);
+    }
+    fleet.run(5s);
+    BOOST_TEST(statuses[200] == sent);
+    for (const auto& [status, count] : statuses)
+        BOOST_TEST_MESSAGE(status << ": " << count);
+}
+
 // Guards against keyed requests in a domain that cannot rule out a withdrawal, and against open routes that stop.
 BOOST_FIXTURE_TEST_CASE(cut_off_domain_serves_open_routes_only, fleet_fixture)
 {
