Announce the end of a planned stop and stop a superseded daemon

A stopped node stayed a suspect for seconds, a daemon whose name was taken over by a later run went on, and an account did not name the time before a restart as lost.

--- a/src/app/mulberryd/daemon.cpp
+++ b/src/app/mulberryd/daemon.cpp
@@ -202,6 +202,11 @@
     m_node = std::make_unique<node>(std::move(settings),
                                     node_environment{m_timers, m_random, m_secure_random, *m_control, *m_store,
                                                      *m_transport, *m_http, m_recorder, &wall_now});
+    m_node->members().on_superseded([this](std::uint64_t incarnation) {
+        log_error("daemon", "Another daemon runs as {} with incarnation {}; this one stops.", m_settings.node_name,
+                  incarnation);
+        stop();
+    });
     for (const control_channel channel : {control_channel::membership, control_channel::configuration,
                                           control_channel::shares, control_channel::account})
         m_control->attach(channel, &m_node->handler(channel));
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -139,6 +139,7 @@
     decision_log_settings account;
     account.node = m_settings.self.name;
     account.max_bytes = m_settings.account_memory_bytes;
+    account.started = environment.wall_clock();
     m_account = std::make_unique<decision_log>(std::move(account), m_timers, environment.control, *m_members);
     m_observer = std::make_unique<account_observer>(*m_account, environment.observer, environment.wall_clock);
 }
@@ -183,6 +184,14 @@
     update_selector();
 }
 
+void node::drain(std::function<void(std::size_t cut)> done)
+{
+    m_drain->start([this, done = std::move(done)](std::size_t cut) {
+        m_members->set_own_state(member_state::dead);
+        done(cut);
+    });
+}
+
 control_handler& node::handler(control_channel channel)
 {
     switch (channel) {
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -58,7 +58,7 @@
     /// True once callers may be served.
     bool ready() const { return m_ready; }
     /// Begins a planned stop; see drain_controller.
-    void drain(std::function<void(std::size_t cut)> done) { m_drain->start(std::move(done)); }
+    void drain(std::function<void(std::size_t cut)> done);
 
     /// Receivers of control messages, by channel.
     control_handler& handler(control_channel channel);
