Wait for the successor of a resigned keeper

In the demo one of 20 orders was still refused with 429 when the keeper of its domain stopped: the request came between the keeper's resignation and the naming of its successor, when nobody can grant tokens. Such a request now waits up to 500 ms; the wait is limited to the first second of the vacancy.

--- a/src/plugins/shares/shareclient.cpp
+++ b/src/plugins/shares/shareclient.cpp
@@ -182,8 +182,8 @@
     done(not_run(refusal_reason::rate_exceeded, retry_after(state)));
 }
 
-/// The time in which the organisation's rate serves the load of a second at this node, with jitter of the same length so
-/// that the callers do not come back together. The rate held here says little: tokens of a small rate stay with the
+/// The time in which the organisation's rate serves the load of a second at this node, with jitter of the same length
+/// so that the callers do not come back together. The rate held here says little: tokens of a small rate stay with the
 /// keeper, and a caller at 5 requests/s was told to wait for 27 s.
 duration share_client::retry_after(const organisation& state)
 {
--- a/src/plugins/shares/sharegroup.cpp
+++ b/src/plugins/shares/sharegroup.cpp
@@ -91,16 +91,33 @@
 {
     if (m_client.try_admit(organisation) || take_borrowed(organisation))
         return done(std::nullopt);
-    const time_point deadline = m_timers.now() + m_settings.grant_wait;
-    m_client.wait(organisation, m_settings.grant_wait,
-                  [this, name = std::string(organisation), deadline,
+    wait_for_grant(std::string(organisation), m_settings.grant_wait, std::move(done));
+}
+
+void share_group::wait_for_grant(std::string organisation, duration longest, share_client::admit_callback done)
+{
+    const time_point deadline = m_timers.now() + longest;
+    const std::string name = organisation;
+    m_client.wait(name, longest,
+                  [this, organisation = std::move(organisation), longest, deadline,
                    done = std::move(done)](std::optional<refusal> refused) mutable {
-                      if (!refused || !m_client.may_borrow(name))
+                      if (!refused)
+                          return done(refused);
+                      if (longest < m_settings.keeper_change_wait && keeper_is_changing())
+                          return wait_for_grant(std::move(organisation), m_settings.keeper_change_wait,
+                                                std::move(done));
+                      if (!m_client.may_borrow(organisation))
                           return done(refused);
-                      borrow({std::move(name), std::move(done), *refused, deadline, {}});
+                      borrow({std::move(organisation), std::move(done), *refused, deadline, {}});
                   });
 }
 
+/// True for a moment after the keeper has resigned, until its successor has named itself.
+bool share_group::keeper_is_changing() const
+{
+    return m_client.keeper().empty() && m_timers.now() - m_vacant_since < 2 * m_settings.keeper_change_wait;
+}
+
 /// Uses a borrowed token that came too late for its request.
 bool share_group::take_borrowed(std::string_view organisation)
 {
@@ -186,6 +203,8 @@
 
 void share_group::on_keeper_named(const std::string& name, std::uint64_t epoch)
 {
+    if (name.empty() && !m_client.keeper().empty())
+        m_vacant_since = m_timers.now();
     m_client.set_keeper(name, epoch);
     if (name.empty())
         replace_later(epoch, vacancy_spread);
--- a/src/plugins/shares/sharegroup.h
+++ b/src/plugins/shares/sharegroup.h
@@ -41,6 +41,8 @@
         std::vector<std::string> asked;
     };
 
+    void wait_for_grant(std::string organisation, duration longest, share_client::admit_callback done);
+    bool keeper_is_changing() const;
     bool take_borrowed(std::string_view organisation);
     void borrow(borrower request);
     share_client& client_of(std::string_view keeper);
@@ -65,6 +67,7 @@
     share_keeper m_keeper;
     periodic_timer m_watch;
     time_point m_next_attempt{};
+    time_point m_vacant_since{};
     /// Requests refused by the own domain and admitted with a borrowed token.
     std::map<std::string, std::uint64_t, std::less<>> m_rescued;
     bool m_replacing = false;
--- a/src/plugins/shares/sharesettings.h
+++ b/src/plugins/shares/sharesettings.h
@@ -23,6 +23,9 @@
     /// How long a request waits for a grant before it is refused. A token borrowed from the other region takes about
     /// 41 ms; with 20 ms only the tokens of the own region could be used.
     duration grant_wait = std::chrono::milliseconds(60);
+    /// How long a request waits instead while the keeper changes. A planned stop of the keeper would otherwise refuse
+    /// requests that are within the rate.
+    duration keeper_change_wait = std::chrono::milliseconds(500);
     /// Interval of a node's reports to its keeper.
     duration report_interval = std::chrono::seconds(10);
     duration grant_lease = std::chrono::minutes(5);
