--- a/src/libs/http/curlsockets.cpp
+++ b/src/libs/http/curlsockets.cpp
@@ -27,10 +27,12 @@
 int curl_sockets::on_socket(CURL*, curl_socket_t handle, int what, void* self, void*)
 {
     auto* sockets = static_cast<curl_sockets*>(self);
-    if (what == CURL_POLL_REMOVE)
+    if (what == CURL_POLL_REMOVE) {
         sockets->unwatch(handle);
-    else
+    }
+    else {
         sockets->watch(handle, what);
+    }
     return 0;
 }
 
@@ -91,10 +93,12 @@
 
 void curl_sockets::ready(curl_socket_t handle, const std::shared_ptr<watched_socket>& socket, int event)
 {
-    if (event == CURL_CSELECT_IN)
+    if (event == CURL_CSELECT_IN) {
         socket->waits_for_read = false;
-    else
+    }
+    else {
         socket->waits_for_write = false;
+    }
     const int needed = event == CURL_CSELECT_IN ? CURL_POLL_IN : CURL_POLL_OUT;
     if ((socket->wanted & needed) == 0)
         return; // libcurl is no longer interested, or has closed the socket
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -349,14 +349,18 @@
 void entry_service::learn(const pending& request, const call_answer& answer)
 {
     const duration latency = m_parts.timers.now() - request.sent;
-    if (answer.result != outcome::ran && answer.failed_below)
+    if (answer.result != outcome::ran && answer.failed_below) {
         m_parts.selector.on_abandoned(request.upstream);
-    else if (answer.result == outcome::ran)
+    }
+    else if (answer.result == outcome::ran) {
         m_parts.selector.on_answer(request.upstream, latency, answer.load, size_of(answer.headers, answer.body));
-    else if (answer.result == outcome::not_run)
+    }
+    else if (answer.result == outcome::not_run) {
         m_parts.selector.on_refused(request.upstream);
-    else
+    }
+    else {
         m_parts.selector.on_failed(request.upstream);
+    }
     m_parts.throttle.observe(request.service, request.upstream, request.organisation, answer.load);
     if (request.parent == nullptr)
         return;
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -191,10 +191,12 @@
         return;
     call& entry = node.mapped();
     end_context(entry);
-    if (result)
+    if (result) {
         answer_ran(entry, std::move(*result));
-    else
+    }
+    else {
         answer_failed(entry, error_of(std::move(result), http_error::connection_lost));
+    }
 }
 
 void guard_service::answer_ran(call& entry, http_answer answer)
--- a/src/plugins/membership/memberchange.h
+++ b/src/plugins/membership/memberchange.h
@@ -13,7 +13,8 @@
     std::uint64_t incarnation = 0;
     std::uint64_t number = 0;
 
-    auto operator<=>(const record_version&) const = default;
+    // clang-tidy 14 takes the zero in the comparisons that use this for a null pointer.
+    auto operator<=>(const record_version&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 enum class member_status : std::uint8_t { alive = 1, suspected = 2, dead = 3 };
--- a/src/plugins/shares/sharegroup.cpp
+++ b/src/plugins/shares/sharegroup.cpp
@@ -103,9 +103,10 @@
                    done = std::move(done)](std::optional<refusal> refused) mutable {
                       if (!refused)
                           return done(refused);
-                      if (longest < m_settings.keeper_change_wait && keeper_is_changing())
+                      if (longest < m_settings.keeper_change_wait && keeper_is_changing()) {
                           return wait_for_grant(std::move(organisation), m_settings.keeper_change_wait,
                                                 std::move(done));
+                      }
                       if (!m_client.may_borrow(organisation))
                           return done(refused);
                       borrow({std::move(organisation), std::move(done), *refused, deadline, {}});
--- a/src/tools/hoplatency/main.cpp
+++ b/src/tools/hoplatency/main.cpp
@@ -69,10 +69,12 @@
             const std::chrono::duration<double, std::micro> took = steady::now() - start;
             samples& target = is_direct ? direct : through;
             constexpr int status_ok = 200;
-            if (!result || result->status != status_ok)
+            if (!result || result->status != status_ok) {
                 ++target.failed;
-            else if (counted)
+            }
+            else if (counted) {
                 target.values.push_back(took.count());
+            }
             next();
         });
     }
