Turn a write's result into its answer in one place

The two ways of an operator's write, direct and through another node, each turned result and failure into an answer.

--- a/src/app/mulberryd/operatorapi.cpp
+++ b/src/app/mulberryd/operatorapi.cpp
@@ -128,8 +128,7 @@
                        responder);
     }
     m_parts.owner.writer().write(std::move(write), [responder](leaf::result<write_result> result) {
-        const write_answer answer =
-            result ? answer_of(*result) : answer_of(error_of(std::move(result), write_failure{}));
+        const write_answer answer = answer_of(std::move(result));
         answer_json(*responder, answer.status, answer.body);
     });
 }
@@ -168,8 +167,7 @@
     if (!write)
         return responder->reject();
     m_parts.owner.writer().write(std::move(*write), [responder](leaf::result<write_result> result) {
-        const write_answer answer =
-            result ? answer_of(*result) : answer_of(error_of(std::move(result), write_failure{}));
+        const write_answer answer = answer_of(std::move(result));
         responder->answer(encode_answer(answer));
     });
 }
--- a/src/app/mulberryd/operatorjson.cpp
+++ b/src/app/mulberryd/operatorjson.cpp
@@ -1,5 +1,7 @@
 #include "app/mulberryd/operatorjson.h"
 
+#include "libs/base/asyncerror.h"
+
 #include <utility>
 
 namespace mulberry {
@@ -124,6 +126,26 @@
     return status_unavailable;
 }
 
+write_answer answer_of_result(const write_result& result)
+{
+    if (result.accepted)
+        return {status_ok, {{"revision", result.revision}}};
+    json body{{"error", "conflict"}, {"message", "The document has been changed in the meantime."}, {"revision", 0}};
+    if (result.current) {
+        body["revision"] = result.current->revision;
+        body["content"] = result.current->content;
+    }
+    return {status_conflict, std::move(body)};
+}
+
+write_answer answer_of_failure(const write_failure& failure)
+{
+    return {status_of(failure.error),
+            {{"error", to_string(failure.error)},
+             {"message", failure.explanation},
+             {"written", failure.error == write_error::unknown_outcome ? json() : json(false)}}};
+}
+
 } // namespace
 
 std::string dump(const json& value)
@@ -196,24 +218,11 @@
     return write;
 }
 
-write_answer answer_of(const write_result& result)
+write_answer answer_of(leaf::result<write_result> result)
 {
-    if (result.accepted)
-        return {status_ok, {{"revision", result.revision}}};
-    json body{{"error", "conflict"}, {"message", "The document has been changed in the meantime."}, {"revision", 0}};
-    if (result.current) {
-        body["revision"] = result.current->revision;
-        body["content"] = result.current->content;
-    }
-    return {status_conflict, std::move(body)};
-}
-
-write_answer answer_of(const write_failure& failure)
-{
-    return {status_of(failure.error),
-            {{"error", to_string(failure.error)},
-             {"message", failure.explanation},
-             {"written", failure.error == write_error::unknown_outcome ? json() : json(false)}}};
+    if (result)
+        return answer_of_result(*result);
+    return answer_of_failure(error_of<write_failure, void>(std::move(result).error(), write_failure{}));
 }
 
 std::string encode_answer(const write_answer& answer)
--- a/src/app/mulberryd/operatorjson.h
+++ b/src/app/mulberryd/operatorjson.h
@@ -28,8 +28,7 @@
     nlohmann::json body;
 };
 
-write_answer answer_of(const write_result& result);
-write_answer answer_of(const write_failure& failure);
+write_answer answer_of(leaf::result<write_result> result);
 std::string encode_answer(const write_answer& answer);
 std::optional<write_answer> decode_answer(std::string_view text);
 
