--- a/cmake/mulberry.cmake
+++ b/cmake/mulberry.cmake
@@ -21,7 +21,7 @@
   add_library(${name} STATIC ${ARGN})
   target_compile_options(${name} PRIVATE -w)
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
-  target_link_libraries(${name} PUBLIC protobuf::libprotobuf-lite)
+  target_link_libraries(${name} PUBLIC PkgConfig::protobuf_lite)
 endfunction()
 
 # mulberry_test(NAME SOURCES... [LINK libraries...]): a Boost.Test program run by ctest.
