--- a/src/app/mulberryd/daemon.cpp
+++ b/src/app/mulberryd/daemon.cpp
@@ -2,12 +2,11 @@
 
 #include "libs/base/asyncerror.h"
 #include "libs/base/log.h"
+#include "libs/base/textfile.h"
 #include "libs/store/etcdstore.h"
 #include "libs/store/memorystore.h"
 
 #include <chrono>
-#include <fstream>
-#include <iterator>
 #include <random>
 #include <utility>
 
@@ -27,14 +26,6 @@
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
 
-std::optional<std::string> read_file(const std::string& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
-        return std::nullopt;
-    return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 http_server_settings server_settings(const daemon_settings& settings, const network_endpoint& endpoint)
 {
     http_server_settings result;
@@ -119,7 +110,7 @@
 {
     if (m_settings.operator_credential_file.empty())
         return {};
-    auto text = read_file(m_settings.operator_credential_file);
+    auto text = read_text_file(m_settings.operator_credential_file);
     if (text)
         text->erase(text->find_last_not_of(" \t\r\n") + 1);
     if (!text || text->empty()) {
@@ -164,12 +155,11 @@
 leaf::result<void> daemon::load_documents()
 {
     for (const std::string& path : m_settings.document_files) {
-        const auto text = read_file(path);
+        const auto text = read_text_file(path);
         const auto key = text ? document_key_of(*text) : std::nullopt;
-        if (!key || m_node->validator().problem(*key, *text)) {
-            log_error("daemon", "{} is not a valid document: {}.", path,
-                      key ? m_node->validator().problem(*key, *text).value_or("")
-                          : "it cannot be read or has no service");
+        if (!key) {
+            log_error("daemon", "{} cannot be read or is not a valid document; mulberryctl check tells its faults.",
+                      path);
             return leaf::new_error(daemon_error::bad_document_file);
         }
         m_store->put_if(*key, 0, *text, 0, [path](leaf::result<put_result> result) {
--- a/src/app/mulberryd/daemonmetrics.cpp
+++ b/src/app/mulberryd/daemonmetrics.cpp
@@ -42,6 +42,7 @@
         const auto reason = std::string(to_string(static_cast<refusal_reason>(i)));
         m_entry_refusals[i] = &m_refusals.Add({{"reason", reason}, {"role", "entry"}});
         m_guard_refusals[i] = &m_refusals.Add({{"reason", reason}, {"role", "guard"}});
+        m_repeated[i] = &m_retries.Add({{"decision", "repeated"}, {"reason", reason}});
     }
     for (std::size_t i = 0; i < m_retry_refusals.size(); ++i) {
         const auto reason = std::string(to_string(static_cast<retry_refusal>(i)));
@@ -73,7 +74,7 @@
 {
     if (refused)
         return m_retry_refusals[static_cast<std::size_t>(*refused)]->Increment();
-    m_retries.Add({{"decision", "repeated"}, {"reason", std::string(to_string(failure))}}).Increment();
+    m_repeated[static_cast<std::size_t>(failure)]->Increment();
 }
 
 void daemon_metrics::set_gauge(const std::string& name, const std::string& help, double value, const std::string& label,
--- a/src/app/mulberryd/daemonmetrics.h
+++ b/src/app/mulberryd/daemonmetrics.h
@@ -44,6 +44,7 @@
     using reason_counters = std::array<prometheus::Counter*, static_cast<std::size_t>(refusal_reason::count)>;
     reason_counters m_entry_refusals{};
     reason_counters m_guard_refusals{};
+    reason_counters m_repeated{};
     std::array<prometheus::Counter*, static_cast<std::size_t>(retry_refusal::count)> m_retry_refusals{};
     std::array<prometheus::Counter*, all_importances.size()> m_served_counters{};
     std::array<prometheus::Counter*, static_cast<std::size_t>(invariant::count)> m_violation_counters{};
--- a/src/app/mulberryd/httpfrontend.cpp
+++ b/src/app/mulberryd/httpfrontend.cpp
@@ -49,7 +49,7 @@
 
 void nested_frontend::on_request(http_server_request request, std::shared_ptr<http_responder> responder)
 {
-    const auto context = m_node.guard().find_context(find_field(request.headers, context_header));
+    const auto context = m_node.guard().find_context(find_header(request.headers, context_header));
     entry_service& entry = m_node.entry();
     const entry_handle handle =
         entry.handle_nested(context, to_caller_request(std::move(request)), answer_through(responder));
--- a/src/tools/mulberryctl/textfile.cpp
+++ b/src/libs/base/textfile.cpp
@@ -1,4 +1,4 @@
-#include "tools/mulberryctl/textfile.h"
+#include "libs/base/textfile.h"
 
 #include <filesystem>
 #include <fstream>
@@ -18,4 +18,15 @@
     return stream.bad() ? std::nullopt : std::optional(std::move(text));
 }
 
+std::vector<std::string_view> lines_of(std::string_view text)
+{
+    std::vector<std::string_view> lines;
+    while (!text.empty()) {
+        const std::size_t end = text.find('\n');
+        lines.push_back(text.substr(0, end));
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    }
+    return lines;
+}
+
 } // namespace mulberry
--- a/src/libs/documents/daemonsettings.cpp
+++ b/src/libs/documents/daemonsettings.cpp
@@ -1,14 +1,13 @@
 #include "libs/documents/daemonsettings.h"
 
 #include "libs/base/asyncerror.h"
+#include "libs/base/textfile.h"
 #include "libs/documents/checks.h"
 #include "libs/documents/endpoints.h"
 #include "libs/documents/tablereader.h"
 
 #include <algorithm>
 #include <array>
-#include <fstream>
-#include <iterator>
 #include <sstream>
 
 #include <boost/program_options.hpp>
@@ -379,15 +378,6 @@
     return variables;
 }
 
-std::optional<std::string> read_file(const std::string& name)
-{
-    std::ifstream stream(name, std::ios::binary);
-    if (!stream)
-        return std::nullopt;
-    std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
-    return stream.bad() ? std::nullopt : std::optional(std::move(text));
-}
-
 } // namespace
 
 leaf::result<daemon_settings> parse_daemon_settings(std::string_view text, std::string_view file)
@@ -413,7 +403,7 @@
     std::string file(command_line_name);
     if (variables->contains("settings")) {
         file = (*variables)["settings"].as<std::string>();
-        const auto text = read_file(file);
+        const auto text = read_text_file(file);
         if (!text)
             errors.push_back({file, 0, "", "cannot be read"});
         if (!text || !read_settings_text(*text, file, found, errors))
--- a/src/libs/documents/keyedits.cpp
+++ b/src/libs/documents/keyedits.cpp
@@ -1,5 +1,6 @@
 #include "libs/documents/keyedits.h"
 
+#include "libs/base/textfile.h"
 #include "libs/documents/hextext.h"
 #include "libs/documents/tablereader.h"
 
@@ -11,17 +12,6 @@
 
 using text_lines = std::vector<std::string_view>;
 
-text_lines lines_of(std::string_view text)
-{
-    text_lines lines;
-    while (!text.empty()) {
-        const std::size_t end = text.find('\n');
-        lines.push_back(text.substr(0, end));
-        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
-    }
-    return lines;
-}
-
 std::string join(const text_lines& lines)
 {
     std::string text;
--- a/src/plugins/calls/headerpolicy.cpp
+++ b/src/plugins/calls/headerpolicy.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
-#include <string>
+#include <span>
 #include <vector>
 
 namespace mulberry {
@@ -19,13 +18,6 @@
 
 constexpr std::array credential_fields{std::string_view("authorization"), std::string_view("proxy-authorization")};
 
-std::string lower_case(std::string_view text)
-{
-    std::string lower(text);
-    std::ranges::transform(lower, lower.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return lower;
-}
-
 std::string_view trim(std::string_view text)
 {
     while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
@@ -35,47 +27,46 @@
     return text;
 }
 
-void append_names(std::string_view list, std::vector<std::string>& names)
+void append_names(std::string_view list, std::vector<std::string_view>& names)
 {
     while (!list.empty()) {
         const std::size_t comma = std::min(list.find(','), list.size());
-        names.push_back(lower_case(trim(list.substr(0, comma))));
+        names.push_back(trim(list.substr(0, comma)));
         list.remove_prefix(std::min(comma + 1, list.size()));
     }
 }
 
-std::vector<std::string> named_by_connection(const header_list& headers)
+std::vector<std::string_view> named_by_connection(const header_list& headers)
 {
-    std::vector<std::string> names;
+    std::vector<std::string_view> names;
     for (const auto& [name, value] : headers) {
-        if (lower_case(name) == "connection")
+        if (detail::same_name(name, "connection"))
             append_names(value, names);
     }
     return names;
 }
 
-} // namespace
+bool is_one_of(std::string_view name, std::span<const std::string_view> names)
+{
+    return std::ranges::any_of(names, [name](std::string_view other) { return detail::same_name(name, other); });
+}
 
-std::string_view find_field(const header_list& headers, std::string_view name)
+bool is_internal(std::string_view name)
 {
-    const std::string wanted = lower_case(name);
-    for (const auto& [field, value] : headers) {
-        if (lower_case(field) == wanted)
-            return value;
-    }
-    return {};
+    return detail::same_name(name.substr(0, internal_header_prefix.size()), internal_header_prefix);
 }
 
+} // namespace
+
 header_list forwardable(const header_list& headers)
 {
-    const std::vector<std::string> dropped = named_by_connection(headers);
+    const std::vector<std::string_view> dropped = named_by_connection(headers);
     header_list kept;
-    for (const auto& [name, value] : headers) {
-        const std::string lower = lower_case(name);
-        if (lower.starts_with(internal_header_prefix) || std::ranges::count(connection_fields, lower) > 0 ||
-            std::ranges::count(credential_fields, lower) > 0 || std::ranges::count(dropped, lower) > 0)
-            continue;
-        kept.emplace_back(name, value);
+    for (const auto& field : headers) {
+        const std::string_view name = field.first;
+        if (!is_internal(name) && !is_one_of(name, connection_fields) && !is_one_of(name, credential_fields) &&
+            !is_one_of(name, dropped))
+            kept.push_back(field);
     }
     return kept;
 }
--- a/src/plugins/calls/headerpolicy.h
+++ b/src/plugins/calls/headerpolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libs/http/httpfields.h"
 #include "plugins/calls/callrequest.h"
 
 #include <string_view>
@@ -23,9 +24,6 @@
 inline constexpr std::string_view replayed_header = "Mulberry-Replayed";
 inline constexpr std::string_view idempotency_key_header = "Idempotency-Key";
 
-/// Value of the first field with the name, without regard to case; empty if there is none.
-std::string_view find_field(const header_list& headers, std::string_view name);
-
 /// The fields that may travel on: without credentials, without fields of this system, and without those that belong to
 /// one connection (RFC 9110 section 7.6.1), among them the ones that the Connection field names.
 header_list forwardable(const header_list& headers);
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -180,7 +180,7 @@
     request.most_attempts = std::max(document->total_attempts, 1U);
     request.allowance = attempt_allowance(request.most_attempts - 1);
     request.deadline = request.received + matched->deadline;
-    const std::string_view wanted = find_field(request.input.headers, deadline_header);
+    const std::string_view wanted = find_header(request.input.headers, deadline_header);
     if (wanted.empty())
         return std::nullopt;
     const auto limit = parse_milliseconds(wanted);
@@ -210,7 +210,7 @@
     }
     if (request.matched.open)
         return std::nullopt;
-    const std::string_view field = find_field(request.input.headers, "authorization");
+    const std::string_view field = find_header(request.input.headers, "authorization");
     if (!field.starts_with(bearer_prefix))
         return not_run(refusal_reason::key_missing);
     if (!m_parts.documents.keyed_requests_allowed())
@@ -227,7 +227,7 @@
 
 std::optional<refusal> entry_service::check_idempotency_key(pending& request)
 {
-    const std::string_view text = find_field(request.input.headers, idempotency_key_header);
+    const std::string_view text = find_header(request.input.headers, idempotency_key_header);
     if (request.matched.idempotent || text.empty())
         return std::nullopt;
     request.once_key = parse_idempotency_key(text);
--- a/src/tools/mulberryctl/checkcommand.cpp
+++ b/src/tools/mulberryctl/checkcommand.cpp
@@ -1,12 +1,12 @@
 #include "tools/mulberryctl/checkcommand.h"
 
 #include "libs/base/asyncerror.h"
+#include "libs/base/textfile.h"
 #include "libs/documents/daemonsettings.h"
 #include "libs/documents/documentcheck.h"
 #include "libs/documents/organisationsdocument.h"
 #include "libs/documents/servicedocument.h"
 #include "libs/documents/units.h"
-#include "tools/mulberryctl/textfile.h"
 
 #include <fmt/format.h>
 
--- a/src/tools/mulberryctl/daemoncommands.cpp
+++ b/src/tools/mulberryctl/daemoncommands.cpp
@@ -1,11 +1,11 @@
 #include "tools/mulberryctl/daemoncommands.h"
 
 #include "libs/base/asyncerror.h"
+#include "libs/base/textfile.h"
 #include "libs/documents/documentcheck.h"
 #include "libs/documents/keyedits.h"
 #include "plugins/keys/keyring.h"
 #include "tools/mulberryctl/linediff.h"
-#include "tools/mulberryctl/textfile.h"
 
 #include <fmt/format.h>
 
--- a/src/tools/mulberryctl/linediff.cpp
+++ b/src/tools/mulberryctl/linediff.cpp
@@ -1,5 +1,7 @@
 #include "tools/mulberryctl/linediff.h"
 
+#include "libs/base/textfile.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <vector>
@@ -15,17 +17,6 @@
 /// Largest table for the longest common subsequence; larger differences are shown as one block.
 constexpr std::size_t most_cells = 16'000'000;
 
-text_lines lines_of(std::string_view text)
-{
-    text_lines lines;
-    while (!text.empty()) {
-        const std::size_t end = text.find('\n');
-        lines.push_back(text.substr(0, end));
-        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
-    }
-    return lines;
-}
-
 /// Lengths of the longest common subsequences of all pairs of tails.
 class common_lengths {
 public:
--- a/src/tools/mulberryctl/main.cpp
+++ b/src/tools/mulberryctl/main.cpp
@@ -1,8 +1,8 @@
+#include "libs/base/textfile.h"
 #include "libs/documents/documentreference.h"
 #include "tools/mulberryctl/checkcommand.h"
 #include "tools/mulberryctl/commandline.h"
 #include "tools/mulberryctl/daemoncommands.h"
-#include "tools/mulberryctl/textfile.h"
 
 #include <cstdio>
 #include <thread>
--- a/tests/auto/plugins/guard/tst_guard.cpp
+++ b/tests/auto/plugins/guard/tst_guard.cpp
@@ -97,9 +97,9 @@
     handle(request(1));
     timers.advance(1s);
     BOOST_TEST((only_answer().result == outcome::ran));
-    BOOST_TEST(find_field(upstream.last_headers(), "authorization").empty());
-    BOOST_TEST(find_field(upstream.last_headers(), organisation_header) == "kiosk");
-    BOOST_TEST(find_field(upstream.last_headers(), context_header).size() == 32U);
+    BOOST_TEST(find_header(upstream.last_headers(), "authorization").empty());
+    BOOST_TEST(find_header(upstream.last_headers(), organisation_header) == "kiosk");
+    BOOST_TEST(find_header(upstream.last_headers(), context_header).size() == 32U);
 }
 
 // Guards against a doubled message that runs twice, while the first copy runs and after it.
@@ -212,7 +212,7 @@
 {
     handle(request(1));
     timers.run_due();
-    const std::string token(find_field(upstream.last_headers(), context_header));
+    const std::string token(find_header(upstream.last_headers(), context_header));
     BOOST_REQUIRE(guard.find_context(token) != nullptr);
     BOOST_TEST(guard.find_context(token)->organisation == "kiosk");
     BOOST_TEST((guard.find_context(std::string(32, '0')) == nullptr));
