--- a/src/app/mulberryd/daemonmetrics.cpp
+++ b/src/app/metrics/daemonmetrics.cpp
@@ -1,4 +1,4 @@
-#include "app/mulberryd/daemonmetrics.h"
+#include "app/metrics/daemonmetrics.h"
 
 #include "libs/base/log.h"
 
--- a/src/app/mulberryd/daemon.h
+++ b/src/app/mulberryd/daemon.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "app/mulberryd/daemonmetrics.h"
+#include "app/metrics/daemonmetrics.h"
 #include "app/mulberryd/httpfrontend.h"
 #include "app/mulberryd/nopeers.h"
 #include "app/mulberryd/operatorapi.h"
-#include "app/mulberryd/peertransport.h"
+#include "app/transport/peertransport.h"
 #include "app/node/node.h"
 #include "libs/crypto/securerandomsource.h"
 #include "libs/documents/daemonsettings.h"
--- a/src/app/mulberryd/operatorapi.h
+++ b/src/app/mulberryd/operatorapi.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "app/mulberryd/daemonmetrics.h"
+#include "app/metrics/daemonmetrics.h"
 #include "app/node/node.h"
 #include "libs/http/httpserver.h"
 #include "libs/peer/peercontrollink.h"
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -203,8 +203,10 @@
         return *m_rates;
     case control_channel::account:
         return *m_account;
+    case control_channel::quota: // shares take its place here
+        break;
     }
-    std::abort(); // the enumeration is closed
+    std::abort(); // no other channel is attached
 }
 
 void node::apply_organisations(const organisations_document& document)
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "app/node/localtransport.h"
+#include "app/transport/localtransport.h"
 #include "app/node/policyview.h"
 #include "libs/http/httpclient.h"
 #include "plugins/account/decisionlog.h"
--- a/src/app/node/policyview.cpp
+++ b/src/app/node/policyview.cpp
@@ -3,6 +3,7 @@
 #include "libs/base/asyncerror.h"
 #include "libs/base/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mulberry {
@@ -14,6 +15,17 @@
     return key.substr(documents_prefix.size());
 }
 
+/// Splits "/service/rest?query" into the service and "/rest?query".
+std::pair<std::string, std::string> split_path(std::string_view path)
+{
+    path.remove_prefix(1);
+    const std::size_t end = std::min(path.find_first_of("/?"), path.size());
+    std::string rest(path.substr(end));
+    if (!rest.starts_with('/'))
+        rest.insert(rest.begin(), '/');
+    return {std::string(path.substr(0, end)), std::move(rest)};
+}
+
 std::vector<key_entry> keys_of(const organisations_document& document)
 {
     std::vector<key_entry> keys;
@@ -46,10 +58,21 @@
     m_organisations_changed = std::move(callback);
 }
 
-const service_document* policy_view::find_service(std::string_view service) const
+std::variant<matched_route, refusal> policy_view::match(std::string_view method, std::string_view path,
+                                                        std::string_view /*host*/) const
 {
-    const auto it = m_services.find(service);
-    return it == m_services.end() ? nullptr : &it->second;
+    if (!path.starts_with('/'))
+        return not_run(refusal_reason::malformed_request);
+    auto [service, rest] = split_path(path);
+    const auto document = m_services.find(service);
+    if (document == m_services.end())
+        return not_run(refusal_reason::route_unknown);
+    const route* rules = document->second.match(method, rest);
+    if (rules == nullptr)
+        return not_run(refusal_reason::route_unknown);
+    const std::uint32_t attempts = std::max(document->second.total_attempts, 1U);
+    return matched_route{std::move(service), std::move(rest), *rules, document->second.body_cap_bytes, attempts,
+                         attempts};
 }
 
 std::optional<std::string> policy_view::organisation_of(std::string_view key) const
--- a/src/app/node/policyview.h
+++ b/src/app/node/policyview.h
@@ -27,7 +27,9 @@
     /// Called after the organisations document has changed.
     void on_organisations_changed(std::function<void(const organisations_document&)> callback);
 
-    const service_document* find_service(std::string_view service) const override;
+    std::variant<matched_route, refusal> match(std::string_view method, std::string_view path,
+                                               std::string_view host) const override;
+    bool has_service(std::string_view service) const override { return m_services.contains(service); }
     std::optional<std::string> organisation_of(std::string_view key) const override;
     bool authorises(std::string_view key, std::string_view organisation) const override;
     bool keyed_requests_allowed() const override;
--- /dev/null
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -0,0 +1,274 @@
+#include "app/sidecar/sidecardaemon.h"
+
+#include "libs/base/log.h"
+
+#include <chrono>
+#include <utility>
+
+namespace mulberry {
+
+namespace {
+
+constexpr std::string_view log_part = "daemon";
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+// Bodies of callers, of calls from other nodes, and their copies on the way share the memory limit.
+constexpr std::size_t held_bodies_share = 8;
+constexpr std::size_t largest_message_bytes = std::size_t{68} * 1024 * 1024;
+// Descriptors for callers; the rest is for the upstream, other daemons and the store.
+constexpr std::size_t caller_descriptor_share = 2;
+
+std::uint64_t start_time_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+http1_client_settings store_client_settings()
+{
+    http1_client_settings settings;
+    settings.idle_timeout = std::chrono::seconds(10);
+    settings.safe_idle = std::chrono::seconds(10);
+    return settings;
+}
+
+peer_settings peer_limits()
+{
+    peer_settings settings;
+    settings.max_message_bytes = largest_message_bytes;
+    settings.ping_after = std::chrono::milliseconds(700);
+    settings.connect_timeout = std::chrono::milliseconds(700);
+    return settings;
+}
+
+} // namespace
+
+std::string_view to_string(sidecar_error error)
+{
+    switch (error) {
+    case sidecar_error::cannot_listen:
+        return "an address cannot be listened on";
+    }
+    return "invalid";
+}
+
+/// Callers and the upstream's own calls.
+class sidecar_daemon::caller_port final : public http1_handler {
+public:
+    explicit caller_port(sidecar_node& node) : m_node(node) {}
+
+    void on_request(http1_request_id id, http1_request request, answer_callback done) override
+    {
+        caller_request call;
+        call.method = std::move(request.method);
+        call.path = std::move(request.target);
+        call.headers = std::move(request.headers);
+        call.body = std::move(request.body);
+        call.host = std::move(request.host);
+        const entry_handle handle =
+            m_node.entry().handle(std::move(call), [this, id, done = std::move(done)](caller_answer answer) {
+                m_handles.erase(id);
+                done({answer.status, std::move(answer.headers), std::move(answer.body)});
+            });
+        if (handle != 0)
+            m_handles[id] = handle;
+    }
+
+    void on_caller_gone(http1_request_id id) override
+    {
+        const auto node = m_handles.extract(id);
+        if (!node.empty())
+            m_node.entry().cancel(node.mapped());
+    }
+
+private:
+    sidecar_node& m_node;
+    std::unordered_map<http1_request_id, entry_handle> m_handles;
+};
+
+class sidecar_daemon::readiness_port final : public http1_handler {
+public:
+    readiness_port(sidecar_node& node, platform_adapter& platform) : m_node(node), m_platform(platform) {}
+
+    void on_request(http1_request_id /*id*/, http1_request request, answer_callback done) override
+    {
+        if (!m_platform.asks_for_readiness(request))
+            return done({status_not_found, {}, {}});
+        const bool ready = m_node.ready();
+        if (ready != std::exchange(m_was_ready, ready))
+            log_info(log_part, "Ready: {}.", ready);
+        done({ready ? status_ok : status_unavailable, {}, {}});
+    }
+
+    void on_caller_gone(http1_request_id /*id*/) override {}
+
+private:
+    sidecar_node& m_node;
+    platform_adapter& m_platform;
+    bool m_was_ready = false;
+};
+
+class sidecar_daemon::announcement_port final : public http1_handler {
+public:
+    announcement_port(sidecar_node& node, platform_adapter& platform) : m_node(node), m_platform(platform) {}
+
+    void on_request(http1_request_id /*id*/, http1_request request, answer_callback done) override
+    {
+        done(m_platform.on_announcement(request, m_node.upstream()));
+    }
+
+    void on_caller_gone(http1_request_id /*id*/) override {}
+
+private:
+    sidecar_node& m_node;
+    platform_adapter& m_platform;
+};
+
+class sidecar_daemon::metrics_port final : public http1_handler {
+public:
+    explicit metrics_port(daemon_metrics& metrics) : m_metrics(metrics) {}
+
+    void on_request(http1_request_id /*id*/, http1_request /*request*/, answer_callback done) override
+    {
+        done({status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
+    }
+
+    void on_caller_gone(http1_request_id /*id*/) override {}
+
+private:
+    daemon_metrics& m_metrics;
+};
+
+sidecar_daemon::sidecar_daemon(const sidecar_settings& settings, platform_adapter& platform, event_loop& loop)
+    : m_settings(settings), m_platform(platform), m_loop(loop), m_timers(loop), m_random(m_secure_random.next()),
+      m_observer(m_metrics, [this] { return view_age(); }), m_store_http(loop, m_timers, store_client_settings()),
+      m_upstream_http(loop, m_timers), m_store(platform.make_store(m_store_http, m_timers)),
+      m_security(std::make_shared<plain_security>(settings.node_name)), m_peers(loop, m_security, peer_limits()),
+      m_peer_server(loop, m_security, m_router, peer_limits()), m_control(m_peers, *this),
+      m_transport(m_timers, m_peers, *this)
+{
+    store_follower_listener& listener = *this;
+    m_configuration =
+        std::make_unique<store_follower>(m_timers, m_random, *m_store, platform.configuration_key(), listener);
+    const sidecar_environment environment{m_timers,
+                                          m_random,
+                                          m_secure_random,
+                                          *m_store,
+                                          m_transport,
+                                          m_control,
+                                          m_upstream_http,
+                                          m_observer,
+                                          [this] { return m_configuration->confirmed(); }};
+    m_node = std::make_unique<sidecar_node>(m_settings, node_id{m_settings.node_name, start_time_ms()},
+                                            platform.fields(), environment);
+    m_node->registry().on_secret([this](const std::string& secret) { m_security->set_secret(secret); });
+    m_control.attach(control_channel::quota, &m_node->quotas());
+    m_calls = std::make_unique<call_handler>(m_node->guard());
+    m_router.add(std::string(call_path), *m_calls);
+    m_router.add(std::string(peer_control_link::path_prefix), m_control);
+    m_caller_port = std::make_unique<caller_port>(*m_node);
+    m_readiness_port = std::make_unique<readiness_port>(*m_node, platform);
+    m_announcement_port = std::make_unique<announcement_port>(*m_node, platform);
+    m_metrics_port = std::make_unique<metrics_port>(m_metrics);
+    m_callers = std::make_unique<http1_server>(loop, *m_caller_port);
+    m_readiness = std::make_unique<http1_server>(loop, *m_readiness_port);
+    m_announcements = std::make_unique<http1_server>(loop, *m_announcement_port);
+    m_metrics_server = std::make_unique<http1_server>(loop, *m_metrics_port);
+    apply_limits({});
+}
+
+sidecar_daemon::~sidecar_daemon() = default;
+
+leaf::result<void> sidecar_daemon::listen(http1_server& server, const listen_address& address)
+{
+    if (address.port == 0)
+        return {};
+    if (server.start(address.host, address.port))
+        return {};
+    log_error(log_part, "Cannot listen on {}:{}.", address.host, address.port);
+    return leaf::new_error(sidecar_error::cannot_listen);
+}
+
+leaf::result<void> sidecar_daemon::start()
+{
+    log_info(log_part, "Node {} of {} in {} starts.", m_settings.node_name, m_settings.service,
+             m_settings.location.failure_domain);
+    BOOST_LEAF_CHECK(listen(*m_announcements, m_settings.announcements));
+    BOOST_LEAF_CHECK(listen(*m_readiness, m_settings.readiness));
+    BOOST_LEAF_CHECK(listen(*m_callers, m_settings.callers));
+    BOOST_LEAF_CHECK(listen(*m_metrics_server, m_settings.metrics));
+    if (!m_peer_server.start(m_settings.peers.host, m_settings.peers.port))
+        return leaf::new_error(sidecar_error::cannot_listen);
+    m_configuration->start();
+    m_node->start();
+    return {};
+}
+
+void sidecar_daemon::stop()
+{
+    if (m_node->draining())
+        return;
+    log_info(log_part, "Stopping: {} requests and {} calls are in progress.", m_node->entry().in_progress(),
+             m_node->guard().in_progress());
+    m_callers->begin_closing();
+    m_node->drain([this](std::size_t cut) {
+        log_info(log_part, "Stopped; {} requests were cut.", cut);
+        m_loop.stop();
+    });
+}
+
+std::optional<std::string> sidecar_daemon::find_address(std::string_view node_name) const
+{
+    const member* node = m_node->registry().find(node_name);
+    if (node == nullptr)
+        return std::nullopt;
+    return node->address;
+}
+
+void sidecar_daemon::on_snapshot(std::span<const store_entry> entries)
+{
+    for (const store_entry& entry : entries)
+        take_configuration(entry);
+}
+
+void sidecar_daemon::on_changes(std::span<const watch_event> events)
+{
+    for (const watch_event& event : events) {
+        if (!event.deleted)
+            take_configuration(event.entry);
+    }
+}
+
+void sidecar_daemon::take_configuration(const store_entry& entry)
+{
+    if (entry.key != m_platform.configuration_key() || entry.mod_revision <= m_configuration_revision)
+        return;
+    m_configuration_revision = entry.mod_revision;
+    auto decoded = m_platform.decode_configuration(entry.value);
+    if (const auto* problem = std::get_if<std::string>(&decoded))
+        return log_error(log_part, "The configuration at revision {} is not used: {}.", entry.mod_revision, *problem);
+    auto& configuration = std::get<host_configuration>(decoded);
+    apply_limits(configuration.limits);
+    m_node->apply(std::move(configuration));
+}
+
+void sidecar_daemon::apply_limits(const host_limits& limits)
+{
+    http1_limits callers;
+    callers.max_header_bytes = limits.max_header_bytes;
+    callers.max_body_bytes = limits.max_body_bytes;
+    callers.header_timeout = limits.header_timeout;
+    callers.idle_timeout = limits.idle_timeout;
+    callers.max_held_bytes = m_settings.memory_limit_bytes / held_bodies_share;
+    callers.max_connections = m_settings.descriptor_limit / caller_descriptor_share;
+    m_callers->set_limits(callers);
+}
+
+duration sidecar_daemon::view_age() const
+{
+    const auto confirmed = m_configuration->confirmed();
+    return confirmed ? m_timers.now() - *confirmed : duration{0};
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/app/sidecar/sidecardaemon.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "app/sidecar/decisionlines.h"
+#include "app/sidecar/platformadapter.h"
+#include "app/sidecar/sidecarnode.h"
+#include "app/transport/peertransport.h"
+#include "libs/crypto/securerandomsource.h"
+#include "libs/eventloop/asiotimerservice.h"
+#include "libs/eventloop/eventloop.h"
+#include "libs/http1/http1client.h"
+#include "libs/http1/http1server.h"
+#include "libs/peer/peerclient.h"
+#include "libs/peer/peercontrollink.h"
+#include "libs/peer/peerrouter.h"
+#include "libs/peer/peerserver.h"
+#include "libs/peer/plainsecurity.h"
+#include "libs/store/storefollower.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace mulberry {
+
+enum class sidecar_error : std::uint8_t { cannot_listen };
+
+std::string_view to_string(sidecar_error error);
+
+/// A sidecar_node with its sockets and clocks.
+class sidecar_daemon final : private address_lookup, private store_follower_listener {
+public:
+    sidecar_daemon(const sidecar_settings& settings, platform_adapter& platform, event_loop& loop);
+    ~sidecar_daemon() override;
+
+    /// Listens on all addresses and joins the fleet. Fails with sidecar_error.
+    leaf::result<void> start();
+    /// Begins a planned stop; the event loop stops at its end.
+    void stop();
+
+private:
+    class caller_port;
+    class readiness_port;
+    class announcement_port;
+    class metrics_port;
+
+    leaf::result<void> listen(http1_server& server, const listen_address& address);
+    std::optional<std::string> find_address(std::string_view node_name) const override;
+    void on_snapshot(std::span<const store_entry> entries) override;
+    void on_changes(std::span<const watch_event> events) override;
+    void take_configuration(const store_entry& entry);
+    void apply_limits(const host_limits& limits);
+    duration view_age() const;
+
+    sidecar_settings m_settings;
+    platform_adapter& m_platform;
+    event_loop& m_loop;
+    asio_timer_service m_timers;
+    secure_random_source m_secure_random;
+    seeded_random_source m_random;
+    daemon_metrics m_metrics;
+    decision_lines m_observer;
+    http1_client m_store_http;
+    http1_client m_upstream_http;
+    std::unique_ptr<key_value_store> m_store;
+    std::shared_ptr<plain_security> m_security;
+    peer_client m_peers;
+    peer_router m_router;
+    peer_server m_peer_server;
+    peer_control_link m_control;
+    peer_transport m_transport;
+    std::unique_ptr<store_follower> m_configuration;
+    std::unique_ptr<sidecar_node> m_node;
+    std::unique_ptr<call_handler> m_calls;
+    std::unique_ptr<caller_port> m_caller_port;
+    std::unique_ptr<readiness_port> m_readiness_port;
+    std::unique_ptr<announcement_port> m_announcement_port;
+    std::unique_ptr<metrics_port> m_metrics_port;
+    std::unique_ptr<http1_server> m_callers;
+    std::unique_ptr<http1_server> m_readiness;
+    std::unique_ptr<http1_server> m_announcements;
+    std::unique_ptr<http1_server> m_metrics_server;
+    std::int64_t m_configuration_revision = 0;
+};
+
+} // namespace mulberry
--- /dev/null
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -0,0 +1,200 @@
+#include "app/sidecar/sidecarnode.h"
+
+#include "libs/base/log.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+namespace mulberry {
+
+namespace {
+
+// Part of the withdrawal limit for which a view may be old. The rest covers a watch that stays silent while changes are
+// made, and the way of a request to the check.
+constexpr double view_age_share = 0.65;
+// Nodes that have not heard of the leaving yet still send calls for this part of the drain limit.
+constexpr double upstream_leaving_share = 0.6;
+// The stop ends this much before the process would be killed.
+constexpr duration stop_margin = std::chrono::milliseconds(300);
+// Calls that were sent before their senders knew of the stop.
+constexpr duration stop_settle_time = std::chrono::milliseconds(2500);
+// Half of the bound is left to other windows of time and to repeated calls below repeated ones.
+constexpr double retry_bound_share = 0.5;
+constexpr duration upstream_ramp = std::chrono::seconds(4);
+
+} // namespace
+
+class sidecar_node::drain_adapter final : public drain_participant {
+public:
+    explicit drain_adapter(sidecar_node& owner) : m_owner(owner) {}
+
+    void begin_drain() override
+    {
+        m_owner.m_guard->begin_leaving();
+        m_owner.publish_state();
+    }
+
+    bool is_idle() const override
+    {
+        return m_owner.m_entry->in_progress() == 0 && m_owner.m_guard->in_progress() == 0;
+    }
+
+    std::size_t cut() override
+    {
+        return m_owner.m_entry->refuse_all(refusal_reason::draining) +
+               m_owner.m_guard->refuse_all(refusal_reason::draining);
+    }
+
+private:
+    sidecar_node& m_owner;
+};
+
+sidecar_node::sidecar_node(const sidecar_settings& settings, node_id self, const field_names& fields,
+                           const sidecar_environment& environment)
+    : m_settings(settings), m_self(std::move(self)), m_timers(environment.timers),
+      m_policy(m_timers, from_seconds(to_seconds(settings.withdrawal_limit) * view_age_share),
+               environment.configuration_confirmed),
+      m_upstream(m_timers, [this](const tracked_upstream& upstream) { on_upstream_changed(upstream); })
+{
+    const member own{m_self,
+                     m_settings.service,
+                     m_settings.peers.host + ":" + std::to_string(m_settings.peers.port),
+                     m_settings.location,
+                     member_state::starting,
+                     0};
+    registry_settings registry;
+    registry.lease = std::max(registry.lease, m_settings.shortest_lease);
+    m_registry = std::make_unique<store_registry>(registry, own, m_timers, environment.random,
+                                                  environment.secure_random, environment.store);
+    m_registry->add_listener(*this);
+    m_quotas = std::make_unique<quota_service>(quota_settings{}, m_self.name, m_timers, *m_registry,
+                                               environment.control);
+    m_throttle = std::make_unique<entry_throttle>(throttle_settings{}, m_timers, environment.random);
+    routing_settings routing;
+    routing.ramp = upstream_ramp;
+    m_selector = std::make_unique<upstream_selector>(routing, m_self.name, m_settings.location, m_timers,
+                                                     environment.random);
+    guard_settings guard;
+    guard.self = m_self;
+    guard.service = m_settings.service;
+    guard.upstream_url = "http://" + m_settings.upstream_address;
+    guard.dynamic_upstream = true;
+    guard.upstream_leaving_grace = from_seconds(to_seconds(m_settings.drain_limit) * upstream_leaving_share);
+    guard.fields = fields;
+    m_guard = std::make_unique<guard_service>(std::move(guard), m_timers, environment.secure_random,
+                                              environment.upstream, environment.observer);
+    m_transport = std::make_unique<local_transport>(m_self.name, m_timers, *m_guard, environment.network);
+    entry_settings entry;
+    entry.self = m_self;
+    entry.fields = fields;
+    entry.calling_service = m_settings.service;
+    entry.status_tells_outcome = true;
+    entry.fractional_retry_after = true;
+    m_entry = std::make_unique<entry_service>(
+        std::move(entry), entry_parts{m_timers, environment.random, environment.secure_random, m_policy, *m_quotas,
+                                      *m_throttle, *m_selector, *m_registry, *m_transport, environment.observer});
+    m_drain_adapter = std::make_unique<drain_adapter>(*this);
+    const std::array<drain_participant*, 1> participants{m_drain_adapter.get()};
+    const drain_settings drain{stop_settle_time, m_settings.stop_limit - stop_margin};
+    m_drain = std::make_unique<drain_controller>(drain, m_timers, participants);
+    update_budgets();
+}
+
+sidecar_node::~sidecar_node()
+{
+    m_timers.cancel(m_leaving_timer);
+    m_registry->remove_listener(*this);
+}
+
+bool sidecar_node::ready() const
+{
+    return m_policy.has_configuration() && m_registry->joined() && !m_drain->draining();
+}
+
+void sidecar_node::apply(host_configuration configuration)
+{
+    if (!m_policy.apply(std::move(configuration)))
+        return;
+    std::vector<quota_limit> limits;
+    for (const host_organisation& organisation : m_policy.configuration().organisations)
+        limits.push_back({organisation.name, organisation.rate, organisation.burst});
+    m_quotas->set_limits(std::move(limits));
+}
+
+void sidecar_node::drain(std::function<void(std::size_t cut)> done)
+{
+    m_drain->start([this, done = std::move(done)](std::size_t cut) {
+        m_registry->leave();
+        done(cut);
+    });
+}
+
+void sidecar_node::on_upstream_changed(const tracked_upstream& upstream)
+{
+    upstream_status status;
+    status.present = true;
+    status.instance = upstream.last.instance;
+    status.service = upstream.last.service;
+    status.slots = upstream.last.slots;
+    status.leaving_since = upstream.leaving_since;
+    m_guard->set_upstream(std::move(status));
+    publish_state();
+}
+
+void sidecar_node::publish_state()
+{
+    const auto& upstream = m_upstream.current();
+    std::string service = m_settings.service;
+    if (upstream && !upstream->last.service.empty())
+        service = upstream->last.service;
+    member_state state = member_state::starting;
+    if (m_drain->draining() || (upstream && upstream->leaving_since)) {
+        state = member_state::leaving;
+    }
+    else if (upstream) {
+        state = member_state::serving;
+    }
+    m_registry->set_own(std::move(service), state);
+}
+
+void sidecar_node::on_member_changed(const member& /*changed*/)
+{
+    update_selector();
+    update_budgets();
+}
+
+void sidecar_node::update_budgets()
+{
+    const double nodes = static_cast<double>(std::max<std::size_t>(m_registry->members().size(), 1));
+    const double slack = m_settings.retry_slack * retry_bound_share / nodes;
+    retry_budget_settings budget;
+    budget.earned_per_success = m_settings.retry_ratio * retry_bound_share;
+    budget.capacity = std::max(slack, 1.0);
+    budget.floor_per_second = slack / to_seconds(m_settings.retry_window);
+    budget.important_reserve = 0;
+    m_entry->set_retry_budget(budget);
+}
+
+void sidecar_node::update_selector()
+{
+    std::vector<upstream_info> upstreams;
+    std::set<std::string> present;
+    for (const member& entry : m_registry->members()) {
+        const std::string run = to_string(entry.id);
+        const bool serving = entry.state == member_state::serving;
+        if (serving)
+            present.insert(run);
+        const time_point since =
+            serving ? m_serving_since.try_emplace(run, m_timers.now()).first->second : m_timers.now();
+        const upstream_state state = serving                                ? upstream_state::serving
+                                     : entry.state == member_state::leaving ? upstream_state::leaving
+                                                                            : upstream_state::starting;
+        upstreams.push_back({entry.id.name, entry.id.incarnation, entry.service, entry.location, state, since});
+    }
+    std::erase_if(m_serving_since, [&](const auto& entry) { return !present.contains(entry.first); });
+    m_selector->update(upstreams);
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/app/sidecar/sidecarsettingsfile.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "app/sidecar/sidecarsettings.h"
+#include "libs/documents/documenterrors.h"
+
+#include <string>
+#include <string_view>
+
+#include <boost/leaf.hpp>
+
+namespace mulberry {
+
+/// Parses and checks the settings of a sidecar. Fails with document_errors, which name file, line and key.
+boost::leaf::result<sidecar_settings> parse_sidecar_settings(std::string_view text, std::string_view file);
+
+/// Markdown table of all settings.
+std::string sidecar_settings_reference();
+
+} // namespace mulberry
--- a/src/app/node/localtransport.cpp
+++ b/src/app/transport/localtransport.cpp
@@ -1,4 +1,4 @@
-#include "app/node/localtransport.h"
+#include "app/transport/localtransport.h"
 
 #include <utility>
 
--- a/src/app/mulberryd/peertransport.cpp
+++ b/src/app/transport/peertransport.cpp
@@ -1,4 +1,4 @@
-#include "app/mulberryd/peertransport.h"
+#include "app/transport/peertransport.h"
 
 #include "libs/base/asyncerror.h"
 
--- a/src/libs/base/controllink.cpp
+++ b/src/libs/base/controllink.cpp
@@ -13,6 +13,8 @@
         return "shares";
     case control_channel::account:
         return "account";
+    case control_channel::quota:
+        return "quota";
     }
     return "invalid";
 }
--- a/src/libs/base/controllink.h
+++ b/src/libs/base/controllink.h
@@ -7,7 +7,7 @@
 namespace mulberry {
 
 /// The slice to which a control message belongs. Values are part of the protocol between daemons.
-enum class control_channel : std::uint8_t { membership = 1, configuration = 2, shares = 3, account = 4 };
+enum class control_channel : std::uint8_t { membership = 1, configuration = 2, shares = 3, account = 4, quota = 5 };
 
 /// Name of the channel in metrics and in the path of its stream.
 std::string_view to_string(control_channel channel);
--- a/src/libs/base/log.h
+++ b/src/libs/base/log.h
@@ -16,6 +16,17 @@
 void set_log_level(log_level level);
 log_level current_log_level();
 
+/// Sends all lines to standard output as "level=... part=... msg=..." instead, at most this many in a second. Lines
+/// beyond that, and lines that the reader of the pipe is too slow for, are counted and left out; a line says how many.
+void use_structured_log(std::uint32_t lines_per_second);
+
+/// Writes a line with fields "name=value", separated by spaces, in place of a sentence. Nothing is written unless
+/// use_structured_log has been called.
+void log_fields(log_level level, std::string_view part, std::string_view fields);
+
+/// Lines that were left out since the start.
+std::uint64_t log_lines_left_out();
+
 namespace detail {
 
 /// Writes one line "LEVEL part: text" to standard error, without interleaving with other threads.
--- a/src/libs/documents/units.cpp
+++ b/src/libs/documents/units.cpp
@@ -55,6 +55,20 @@
     return duration(static_cast<duration::rep>(*amount));
 }
 
+std::optional<duration> parse_decimal_duration(std::string_view text)
+{
+    double number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
+    if (error != std::errc{} || !(number >= 0))
+        return std::nullopt;
+    constexpr double longest_s = 1e9;
+    const std::string_view suffix = text.substr(static_cast<std::size_t>(end - text.data()));
+    const double seconds = suffix == "ms" ? number / 1000 : number;
+    if ((suffix != "ms" && suffix != "s") || seconds > longest_s)
+        return std::nullopt;
+    return std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
+}
+
 std::string duration_text(duration interval)
 {
     return quantity_text(static_cast<std::uint64_t>(interval.count()), duration_units);
--- a/src/libs/eventloop/asiotimerservice.cpp
+++ b/src/libs/eventloop/asiotimerservice.cpp
@@ -3,6 +3,7 @@
 #include "libs/eventloop/eventloop.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 namespace mulberry {
@@ -11,8 +12,12 @@
 
 time_point asio_timer_service::now() const
 {
-    const auto since_epoch = std::chrono::steady_clock::now().time_since_epoch();
-    return time_point(std::chrono::duration_cast<duration>(since_epoch));
+    // Unlike the steady clock this one counts the time for which the machine was suspended, so that leases, view ages
+    // and withdrawals end in time. Timers then fire late by what the suspension took.
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(now.tv_sec) +
+                                                           std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 timer_id asio_timer_service::schedule(duration delay, std::function<void()> callback)
@@ -40,8 +45,7 @@
 {
     if (m_queue.empty())
         return;
-    const duration due = m_queue.begin()->first.first.time_since_epoch();
-    m_timer.expires_at(std::chrono::steady_clock::time_point(due));
+    m_timer.expires_after(std::max(m_queue.begin()->first.first - now(), duration{0}));
     m_timer.async_wait([this, alive = std::weak_ptr<int>(m_alive)](const boost::system::error_code& error) {
         if (!error && !alive.expired())
             run_due();
--- a/src/libs/http/curlhttpclient.h
+++ b/src/libs/http/curlhttpclient.h
@@ -29,7 +29,7 @@
 /// cannot be told from a lost connection. Header fields that would break the framing (line breaks in names or values)
 /// make the request fail as not_sent; Content-Length, Transfer-Encoding and Connection are set by the client alone.
 /// A timeout of zero or less fails as not_sent at once, but means no limit for stream(). Redirects are not followed.
-class curl_http_client final : public http_client {
+class curl_http_client final : public streaming_http_client {
 public:
     explicit curl_http_client(event_loop& loop, const curl_client_settings& settings = {});
     ~curl_http_client() override;
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -35,6 +35,11 @@
     http_headers headers;
     std::string body;
     duration timeout{std::chrono::seconds(10)};
+    /// Name of a field that the server repeats in its answer. An answer with another value belongs to another request
+    /// and is discarded. Empty if there is none.
+    std::string echoed_field;
+    /// False for a request that must not run twice; it avoids connections that the server may have dropped.
+    bool repeatable = true;
 };
 
 struct http_answer {
@@ -58,7 +63,11 @@
 
     /// Aborts a request whose answer has not come; its callback is then never called.
     virtual void cancel(http_call_id id) = 0;
+};
 
+/// A client that can also give an answer in pieces.
+class streaming_http_client : public http_client {
+public:
     /// Streams the body of the answer in pieces as they arrive; `done` comes at its end. For watches.
     virtual http_call_id stream(http_request request, std::function<void(std::string_view)> on_piece,
                                 http_callback done) = 0;
--- /dev/null
+++ b/src/libs/http1/http1client.cpp
@@ -0,0 +1,159 @@
+#include "libs/http1/http1client.h"
+
+#include "libs/eventloop/eventloop.h"
+#include "libs/http1/http1exchange.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace mulberry {
+
+namespace {
+
+using detail::http1_exchange;
+
+/// "host:port" of "http://host:port/path".
+std::string server_of(std::string_view url)
+{
+    const std::size_t scheme = url.find("://");
+    const std::string_view rest = scheme == std::string_view::npos ? url : url.substr(scheme + 3);
+    return std::string(rest.substr(0, rest.find('/')));
+}
+
+} // namespace
+
+class http1_client::implementation final : public detail::http1_exchange_owner,
+                                           public std::enable_shared_from_this<implementation> {
+public:
+    implementation(event_loop& loop, timer_service& timers, const http1_client_settings& settings)
+        : m_loop(loop), m_timers(timers), m_settings(settings)
+    {
+    }
+
+    http_call_id send(http_request request, http_callback done)
+    {
+        const http_call_id id = ++m_last_id;
+        std::string server = server_of(request.url);
+        auto connection = take_idle(server, request.repeatable);
+        if (!connection)
+            connection = std::make_shared<http1_exchange>(m_loop.context(), m_timers, m_settings, weak_from_this(),
+                                                          std::move(server));
+        m_open.emplace(id, open_request{connection, std::move(done)});
+        connection->send(id, std::move(request));
+        return id;
+    }
+
+    void cancel(http_call_id id)
+    {
+        const auto node = m_open.extract(id);
+        if (!node.empty())
+            node.mapped().connection->close();
+    }
+
+    void drop()
+    {
+        for (auto& [id, open] : m_open)
+            open.connection->close();
+        m_open.clear();
+        for (auto& [server, list] : m_idle) {
+            for (const auto& connection : list)
+                connection->close();
+        }
+        m_idle.clear();
+    }
+
+    void finished(http1_exchange& connection, http_call_id id, leaf::result<http_answer> result,
+                  bool reusable) override
+    {
+        const auto node = m_open.extract(id);
+        if (reusable)
+            keep(connection);
+        if (!node.empty())
+            node.mapped().done(std::move(result));
+    }
+
+    void closed_while_idle(http1_exchange& connection) override
+    {
+        const auto found = m_idle.find(connection.server());
+        if (found == m_idle.end())
+            return;
+        std::erase_if(found->second, [&](const auto& each) { return each.get() == &connection; });
+        if (found->second.empty())
+            m_idle.erase(found);
+    }
+
+    void connected() override { ++m_connections_opened; }
+
+    std::uint64_t connections_opened() const { return m_connections_opened; }
+
+private:
+    using connection_list = std::vector<std::shared_ptr<http1_exchange>>;
+
+    struct open_request {
+        std::shared_ptr<http1_exchange> connection;
+        http_callback done;
+    };
+
+    void keep(http1_exchange& connection)
+    {
+        connection_list& list = m_idle[connection.server()];
+        if (list.size() >= m_settings.max_idle)
+            return connection.close();
+        list.push_back(connection.shared_from_this());
+        connection.idle();
+    }
+
+    /// The connection that was used last, which is the most likely to be alive.
+    std::shared_ptr<http1_exchange> take_idle(const std::string& server, bool repeatable)
+    {
+        const auto found = m_idle.find(server);
+        if (found == m_idle.end())
+            return nullptr;
+        auto connection = found->second.back();
+        const duration idle = m_timers.now() - connection->idle_since();
+        const duration limit = repeatable ? connection->idle_limit() : std::min(connection->idle_limit(), m_settings.safe_idle);
+        if (idle >= limit)
+            return nullptr;
+        found->second.pop_back();
+        if (found->second.empty())
+            m_idle.erase(found);
+        return connection;
+    }
+
+    event_loop& m_loop;
+    timer_service& m_timers;
+    http1_client_settings m_settings;
+    std::unordered_map<http_call_id, open_request> m_open;
+    std::map<std::string, connection_list, std::less<>> m_idle;
+    http_call_id m_last_id = 0;
+    std::uint64_t m_connections_opened = 0;
+};
+
+http1_client::http1_client(event_loop& loop, timer_service& timers, const http1_client_settings& settings)
+    : m_implementation(std::make_shared<implementation>(loop, timers, settings))
+{
+}
+
+http1_client::~http1_client()
+{
+    m_implementation->drop();
+}
+
+http_call_id http1_client::send(http_request request, http_callback done)
+{
+    return m_implementation->send(std::move(request), std::move(done));
+}
+
+void http1_client::cancel(http_call_id id)
+{
+    m_implementation->cancel(id);
+}
+
+std::uint64_t http1_client::connections_opened() const
+{
+    return m_implementation->connections_opened();
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/libs/http1/http1exchange.cpp
@@ -0,0 +1,248 @@
+#include "libs/http1/http1exchange.h"
+
+#include "libs/base/asyncerror.h"
+#include "libs/http/httpfields.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace mulberry::detail {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+// Answers to earlier requests that are skipped before the connection is given up.
+constexpr int most_foreign_answers = 2;
+constexpr unsigned first_final_status = 200;
+
+std::optional<tcp::endpoint> endpoint_of(std::string_view server)
+{
+    const std::size_t colon = server.rfind(':');
+    std::uint16_t port = 0;
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = server.substr(colon + 1);
+    const auto [end, parse_error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(std::string(server.substr(0, colon)), error);
+    if (error || parse_error != std::errc{} || end != digits.data() + digits.size())
+        return std::nullopt;
+    return tcp::endpoint(address, port);
+}
+
+/// The path and query of "http://host:port/path".
+std::string_view target_of(std::string_view url)
+{
+    const std::size_t host = url.find("://");
+    const std::size_t path = host == std::string_view::npos ? url.find('/') : url.find('/', host + 3);
+    return path == std::string_view::npos ? std::string_view("/") : url.substr(path);
+}
+
+} // namespace
+
+http1_exchange::http1_exchange(boost::asio::io_context& context, timer_service& timers,
+                               const http1_client_settings& settings, std::weak_ptr<http1_exchange_owner> owner,
+                               std::string server)
+    : m_socket(context), m_timers(timers), m_settings(settings), m_owner(std::move(owner)),
+      m_server(std::move(server)), m_timer(context), m_idle_limit(settings.idle_timeout)
+{
+}
+
+void http1_exchange::send(http_call_id id, http_request request)
+{
+    m_id = id;
+    m_request = std::move(request);
+    m_sent = false;
+    m_foreign_answers = 0;
+    if (m_connected)
+        return exchange();
+    connect();
+}
+
+void http1_exchange::arm(duration limit, http_error reason)
+{
+    m_timer.expires_after(std::max(limit, duration{0}));
+    m_timer.async_wait([weak = weak_from_this(), reason, id = m_id](const error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && self->m_id == id)
+            self->fail(reason);
+    });
+}
+
+void http1_exchange::connect()
+{
+    const auto endpoint = endpoint_of(m_server);
+    if (!endpoint) {
+        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(http_error::not_sent); });
+        return;
+    }
+    arm(std::min(m_settings.connect_timeout, m_request.timeout), http_error::not_sent);
+    m_socket.async_connect(*endpoint, [self = shared_from_this()](const error_code& error) {
+        if (self->m_closed)
+            return;
+        if (error)
+            return self->fail(http_error::not_sent);
+        self->m_connected = true;
+        error_code ignored;
+        self->m_socket.set_option(tcp::no_delay(true), ignored);
+        if (const auto owner = self->m_owner.lock())
+            owner->connected();
+        self->exchange();
+    });
+}
+
+void http1_exchange::exchange()
+{
+    m_message = std::make_shared<wire_request>();
+    m_message->version(11);
+    m_message->method_string(m_request.method);
+    m_message->target(std::string(target_of(m_request.url)));
+    if (find_header(m_request.headers, "host").empty())
+        m_message->insert(http::field::host, m_server);
+    for (const auto& [name, value] : m_request.headers)
+        m_message->insert(name, value);
+    m_message->body() = std::move(m_request.body);
+    if (!m_message->body().empty() || m_request.method == "POST" || m_request.method == "PUT")
+        m_message->content_length(m_message->body().size());
+    m_sent = true;
+    m_writing = true;
+    arm(m_request.timeout, http_error::timed_out);
+    http::async_write(m_socket, *m_message, [self = shared_from_this(), id = m_id](const error_code&, std::size_t) {
+        // A failed write shows in the read, which may still bring an early answer.
+        if (self->m_id == id)
+            self->m_writing = false;
+    });
+    read();
+}
+
+void http1_exchange::read()
+{
+    m_parser.emplace();
+    m_parser->body_limit(m_settings.max_answer_bytes);
+    if (m_request.method == "HEAD")
+        m_parser->skip(true);
+    http::async_read(m_socket, m_buffer, *m_parser,
+                     [self = shared_from_this(), id = m_id](const error_code& error, std::size_t) {
+                         if (!self->m_closed && self->m_id == id)
+                             self->on_read(error);
+                     });
+}
+
+void http1_exchange::on_read(const error_code& error)
+{
+    if (error == http::error::body_limit)
+        return fail(http_error::too_large);
+    if (error) {
+        const bool begun = m_parser->is_header_done() || error == http::error::partial_message;
+        return fail(begun ? http_error::truncated : http_error::connection_lost);
+    }
+    if (m_parser->get().result_int() < first_final_status)
+        return read();
+    if (is_for_another_request()) {
+        if (++m_foreign_answers > most_foreign_answers || !m_parser->keep_alive())
+            return fail(http_error::connection_lost);
+        return read();
+    }
+    on_answer(m_parser->need_eof());
+}
+
+bool http1_exchange::is_for_another_request() const
+{
+    if (m_request.echoed_field.empty())
+        return false;
+    const auto echoed = m_parser->get()[m_request.echoed_field];
+    const std::string_view sent = find_header(m_request.headers, m_request.echoed_field);
+    return !echoed.empty() && std::string_view(echoed.data(), echoed.size()) != sent;
+}
+
+void http1_exchange::note_keep_alive()
+{
+    m_idle_limit = m_settings.idle_timeout;
+    const auto field = m_parser->get()[http::field::keep_alive];
+    const std::string_view text(field.data(), field.size());
+    const std::size_t at = text.find("timeout=");
+    if (at == std::string_view::npos)
+        return;
+    std::int64_t seconds = 0;
+    const std::string_view digits = text.substr(at + std::string_view("timeout=").size());
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (error != std::errc{} || end == digits.data())
+        return;
+    const duration allowed = std::chrono::seconds(std::min<std::int64_t>(seconds, 3600)) - m_settings.keep_alive_margin;
+    m_idle_limit = std::min(m_idle_limit, std::max(allowed, duration{0}));
+}
+
+void http1_exchange::on_answer(bool whole_by_close)
+{
+    note_keep_alive();
+    // Bytes after a whole answer belong to no request, and a request that is still being written ends with the
+    // connection.
+    const bool reusable = !whole_by_close && m_parser->keep_alive() && m_buffer.size() == 0 && !m_writing &&
+                          m_idle_limit > duration{0};
+    auto message = m_parser->release();
+    http_answer answer;
+    answer.status = static_cast<int>(message.result_int());
+    for (const auto& field : message)
+        answer.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    answer.body = std::move(message.body());
+    finish(std::move(answer), reusable);
+}
+
+void http1_exchange::fail(http_error error)
+{
+    finish(captured_error<http_answer>(m_sent ? error : http_error::not_sent), false);
+}
+
+void http1_exchange::finish(leaf::result<http_answer> result, bool reusable)
+{
+    const auto self = shared_from_this();
+    const http_call_id id = std::exchange(m_id, 0);
+    m_timer.cancel();
+    m_parser.reset();
+    m_message.reset();
+    m_buffer = {};
+    if (!reusable)
+        close();
+    if (id == 0)
+        return;
+    if (const auto owner = m_owner.lock())
+        owner->finished(*this, id, std::move(result), reusable);
+}
+
+void http1_exchange::idle()
+{
+    m_idle_since = m_timers.now();
+    m_timer.expires_after(m_idle_limit);
+    m_timer.async_wait([weak = weak_from_this()](const error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_id != 0 || self->m_closed)
+            return;
+        self->close();
+        if (const auto owner = self->m_owner.lock())
+            owner->closed_while_idle(*self);
+    });
+    m_socket.async_wait(tcp::socket::wait_read, [weak = weak_from_this()](const error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_id != 0 || self->m_closed)
+            return;
+        self->close();
+        if (const auto owner = self->m_owner.lock())
+            owner->closed_while_idle(*self);
+    });
+}
+
+void http1_exchange::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_timer.cancel();
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace mulberry::detail
--- /dev/null
+++ b/src/libs/http1/http1server.cpp
@@ -0,0 +1,161 @@
+#include "libs/http1/http1server.h"
+
+#include "libs/eventloop/eventloop.h"
+#include "libs/http1/http1serverconnection.h"
+
+#include <set>
+
+namespace mulberry {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using detail::http1_server_connection;
+
+// Without a pause a failing accept, for example without free descriptors, would spin.
+constexpr std::chrono::milliseconds accept_pause{100};
+
+} // namespace
+
+class http1_server::implementation final : public detail::http1_connection_owner,
+                                           public std::enable_shared_from_this<implementation> {
+public:
+    implementation(event_loop& loop, http1_handler& handler, const http1_limits& limits)
+        : m_handler(handler), m_limits(limits), m_acceptor(loop.context()), m_accept_timer(loop.context())
+    {
+    }
+
+    boost::leaf::result<std::uint16_t> start(const std::string& address, std::uint16_t port)
+    {
+        error_code error;
+        const auto host = boost::asio::ip::make_address(address, error);
+        const tcp::endpoint endpoint(host, port);
+        if (error || m_acceptor.open(endpoint.protocol(), error) ||
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error) || m_acceptor.bind(endpoint, error) ||
+            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error))
+            return boost::leaf::new_error(error);
+        accept();
+        return m_acceptor.local_endpoint().port();
+    }
+
+    void stop_listening()
+    {
+        error_code ignored;
+        m_acceptor.close(ignored);
+        m_accept_timer.cancel();
+    }
+
+    void drop()
+    {
+        stop_listening();
+        m_dropped = true;
+        const std::vector<std::shared_ptr<http1_server_connection>> open(m_connections.begin(), m_connections.end());
+        for (const auto& connection : open)
+            connection->close();
+    }
+
+    void set_limits(const http1_limits& limits) { m_limits = limits; }
+    void begin_closing() { m_closing = true; }
+    std::size_t open_connections() const { return m_connections.size(); }
+
+    http1_handler& handler() override { return m_handler; }
+    const http1_limits& limits() const override { return m_limits; }
+    bool closing() const override { return m_closing; }
+    http1_request_id next_request_id() override { return ++m_last_id; }
+
+    bool reserve(std::size_t bytes) override
+    {
+        if (m_held_bytes + bytes > m_limits.max_held_bytes)
+            return false;
+        m_held_bytes += bytes;
+        return true;
+    }
+
+    void release(std::size_t bytes) override { m_held_bytes -= bytes; }
+
+    void connection_closed(http1_server_connection& connection) override
+    {
+        m_connections.erase(connection.shared_from_this());
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([weak = weak_from_this()](const error_code& error, tcp::socket socket) {
+            const auto self = weak.lock();
+            if (!self || !self->m_acceptor.is_open())
+                return;
+            if (error)
+                return self->pause_accepting();
+            self->take(std::move(socket));
+            self->accept();
+        });
+    }
+
+    void take(tcp::socket socket)
+    {
+        if (m_connections.size() >= m_limits.max_connections)
+            return;
+        auto connection = std::make_shared<http1_server_connection>(std::move(socket), weak_from_this());
+        m_connections.insert(connection);
+        connection->start();
+    }
+
+    void pause_accepting()
+    {
+        m_accept_timer.expires_after(accept_pause);
+        m_accept_timer.async_wait([weak = weak_from_this()](const error_code& error) {
+            const auto self = weak.lock();
+            if (!error && self && self->m_acceptor.is_open())
+                self->accept();
+        });
+    }
+
+    http1_handler& m_handler;
+    http1_limits m_limits;
+    tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_accept_timer;
+    std::set<std::shared_ptr<http1_server_connection>> m_connections;
+    http1_request_id m_last_id = 0;
+    std::size_t m_held_bytes = 0;
+    bool m_closing = false;
+    bool m_dropped = false;
+};
+
+http1_server::http1_server(event_loop& loop, http1_handler& handler, const http1_limits& limits)
+    : m_implementation(std::make_shared<implementation>(loop, handler, limits))
+{
+}
+
+http1_server::~http1_server()
+{
+    m_implementation->drop();
+}
+
+boost::leaf::result<std::uint16_t> http1_server::start(const std::string& address, std::uint16_t port)
+{
+    return m_implementation->start(address, port);
+}
+
+void http1_server::set_limits(const http1_limits& limits)
+{
+    m_implementation->set_limits(limits);
+}
+
+void http1_server::begin_closing()
+{
+    m_implementation->begin_closing();
+}
+
+void http1_server::stop_listening()
+{
+    m_implementation->stop_listening();
+}
+
+std::size_t http1_server::open_connections() const
+{
+    return m_implementation->open_connections();
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -0,0 +1,307 @@
+#include "libs/http1/http1serverconnection.h"
+
+#include "libs/http/httpfields.h"
+
+#include <array>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+
+namespace mulberry::detail {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+// Time for the caller to read an answer that ends the connection; a close with unread bytes would reset it.
+constexpr std::chrono::seconds linger_limit{1};
+// Added to the idle timeout that callers know, so that a request that crosses the close is rare.
+constexpr std::chrono::seconds idle_margin{2};
+constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_too_large = 413;
+constexpr unsigned status_header_too_large = 431;
+constexpr unsigned status_unavailable = 503;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+http_headers headers_of(const http::fields& fields)
+{
+    http_headers headers;
+    for (const auto& field : fields)
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    return headers;
+}
+
+/// A request without exactly one host, or with unclear framing, could be read differently by the next hop.
+bool is_proper(const http_headers& headers)
+{
+    std::size_t hosts = 0;
+    for (const auto& [name, value] : headers)
+        hosts += same_name(name, "host") ? 1 : 0;
+    return hosts == 1 && framing_of(headers) != body_framing::contradictory;
+}
+
+/// True for a breach of the protocol, false for the end of the connection.
+bool is_malformed(const boost::system::error_code& error)
+{
+    const auto& protocol = http::make_error_code(http::error::end_of_stream).category();
+    return error.category() == protocol && error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+} // namespace
+
+http1_server_connection::http1_server_connection(tcp::socket socket, std::weak_ptr<http1_connection_owner> owner)
+    : m_socket(std::move(socket)), m_owner(std::move(owner)), m_timer(m_socket.get_executor())
+{
+}
+
+void http1_server_connection::start()
+{
+    error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    await_request();
+}
+
+void http1_server_connection::arm(duration limit)
+{
+    m_timer.expires_after(limit);
+    m_timer.async_wait([weak = weak_from_this()](const error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->close();
+    });
+}
+
+void http1_server_connection::await_request()
+{
+    const auto owner = m_owner.lock();
+    if (m_closed || !owner)
+        return close();
+    m_parser.reset();
+    if (m_buffer.size() > 0)
+        return read_header();
+    m_buffer = {};
+    arm(owner->limits().idle_timeout + idle_margin);
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
+        if (error)
+            return self->close();
+        if (!self->m_closed)
+            self->read_header();
+    });
+}
+
+void http1_server_connection::read_header()
+{
+    const auto owner = m_owner.lock();
+    if (!owner)
+        return close();
+    const http1_limits& limits = owner->limits();
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+    m_parser->body_limit(limits.max_body_bytes);
+    arm(limits.header_timeout);
+    http::async_read_header(m_socket, m_buffer, *m_parser,
+                            [self = shared_from_this()](const error_code& error, std::size_t) {
+                                if (self->m_closed)
+                                    return;
+                                if (error == http::error::header_limit || error == http::error::buffer_overflow)
+                                    return self->reject(status_header_too_large);
+                                if (error == http::error::body_limit)
+                                    return self->reject(status_too_large);
+                                if (is_malformed(error))
+                                    return self->reject(status_bad_request);
+                                if (error)
+                                    return self->close();
+                                self->on_header();
+                            });
+}
+
+void http1_server_connection::on_header()
+{
+    const auto owner = m_owner.lock();
+    if (!owner)
+        return close();
+    if (!is_proper(headers_of(m_parser->get())))
+        return reject(status_bad_request);
+    m_is_head = m_parser->get().method() == http::verb::head;
+    m_reserved = m_parser->content_length().value_or(0);
+    if (!owner->reserve(m_reserved)) {
+        m_reserved = 0;
+        return reject(status_unavailable);
+    }
+    const auto expects = m_parser->get()[http::field::expect];
+    if (!beast::iequals(expects, "100-continue"))
+        return read_body();
+    boost::asio::async_write(m_socket, boost::asio::buffer(continue_line.data(), continue_line.size()),
+                             [self = shared_from_this()](const error_code& error, std::size_t) {
+                                 if (error)
+                                     return self->close();
+                                 if (!self->m_closed)
+                                     self->read_body();
+                             });
+}
+
+void http1_server_connection::read_body()
+{
+    const auto owner = m_owner.lock();
+    if (!owner)
+        return close();
+    if (m_parser->is_done())
+        return deliver();
+    arm(owner->limits().transfer_timeout);
+    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (self->m_closed)
+            return;
+        if (error == http::error::body_limit)
+            return self->reject(status_too_large);
+        if (is_malformed(error))
+            return self->reject(status_bad_request);
+        if (error)
+            return self->close();
+        self->deliver();
+    });
+}
+
+http1_request http1_server_connection::take_request()
+{
+    auto message = m_parser->release();
+    m_parser.reset();
+    http1_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.host = std::string(message[http::field::host]);
+    request.headers = headers_of(message);
+    request.body = std::move(message.body());
+    return request;
+}
+
+void http1_server_connection::deliver()
+{
+    const auto owner = m_owner.lock();
+    if (!owner)
+        return close();
+    m_timer.cancel();
+    m_keep = m_parser->get().keep_alive();
+    const http1_request_id id = owner->next_request_id();
+    m_request = id;
+    // The answer may come within the call.
+    watch_for_close();
+    owner->handler().on_request(id, take_request(), [weak = weak_from_this(), id](http1_answer given) {
+        if (const auto self = weak.lock())
+            self->answer(id, std::move(given));
+    });
+}
+
+void http1_server_connection::watch_for_close()
+{
+    m_socket.async_wait(
+        tcp::socket::wait_read, [self = shared_from_this(), id = m_request](const error_code& error) {
+            if (self->m_closed || self->m_request != id)
+                return;
+            std::array<char, 1> byte{};
+            error_code result = error;
+            std::size_t count = 0;
+            if (!result) {
+                self->m_socket.non_blocking(true, result);
+                count = self->m_socket.receive(boost::asio::buffer(byte), tcp::socket::message_peek, result);
+            }
+            if (result == boost::asio::error::would_block)
+                return self->watch_for_close();
+            const bool has_next_request = !result && count > 0;
+            if (!has_next_request)
+                self->close();
+        });
+}
+
+void http1_server_connection::answer(http1_request_id id, http1_answer given)
+{
+    if (m_closed || m_request != id)
+        return;
+    m_request = 0;
+    release_body();
+    const auto owner = m_owner.lock();
+    write(std::move(given), m_keep && owner && !owner->closing());
+}
+
+void http1_server_connection::reject(unsigned status)
+{
+    http1_answer refused;
+    refused.status = static_cast<int>(status);
+    release_body();
+    write(std::move(refused), false);
+}
+
+void http1_server_connection::write(http1_answer given, bool keep)
+{
+    const auto owner = m_owner.lock();
+    if (!owner)
+        return close();
+    m_response = std::make_shared<response>();
+    response& out = *m_response;
+    out.version(11);
+    out.result(static_cast<unsigned>(given.status));
+    for (const auto& [name, value] : given.headers)
+        out.insert(name, value);
+    const bool bodiless = given.status == status_no_content || given.status == status_not_modified;
+    if (!bodiless)
+        out.content_length(given.body.size());
+    if (!bodiless && !m_is_head)
+        out.body() = std::move(given.body);
+    if (!keep)
+        out.set(http::field::connection, "close");
+    arm(owner->limits().transfer_timeout);
+    http::async_write(m_socket, out, [self = shared_from_this(), keep](const error_code& error, std::size_t) {
+        self->m_response.reset();
+        if (error)
+            return self->close();
+        if (self->m_closed)
+            return;
+        if (keep)
+            return self->await_request();
+        self->linger();
+    });
+}
+
+void http1_server_connection::linger()
+{
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    arm(linger_limit);
+    m_buffer.clear();
+    m_socket.async_read_some(m_buffer.prepare(1024), [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (error)
+            return self->close();
+        if (!self->m_closed)
+            self->linger();
+    });
+}
+
+void http1_server_connection::release_body()
+{
+    const auto owner = m_owner.lock();
+    if (owner && m_reserved > 0)
+        owner->release(std::exchange(m_reserved, 0));
+}
+
+void http1_server_connection::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_timer.cancel();
+    error_code ignored;
+    m_socket.close(ignored);
+    release_body();
+    const auto owner = m_owner.lock();
+    if (!owner)
+        return;
+    const auto self = shared_from_this();
+    if (m_request != 0)
+        owner->handler().on_caller_gone(std::exchange(m_request, 0));
+    owner->connection_closed(*this);
+}
+
+} // namespace mulberry::detail
--- /dev/null
+++ b/src/libs/http1/http1serverconnection.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "libs/http1/http1server.h"
+
+#include <memory>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace mulberry::detail {
+
+class http1_server_connection;
+
+/// What a connection needs of its server.
+class http1_connection_owner {
+public:
+    http1_connection_owner() = default;
+    http1_connection_owner(const http1_connection_owner&) = delete;
+    http1_connection_owner& operator=(const http1_connection_owner&) = delete;
+    virtual ~http1_connection_owner() = default;
+
+    virtual http1_handler& handler() = 0;
+    virtual const http1_limits& limits() const = 0;
+    virtual bool closing() const = 0;
+    virtual http1_request_id next_request_id() = 0;
+    /// Takes room for a body; false if there is none.
+    virtual bool reserve(std::size_t bytes) = 0;
+    virtual void release(std::size_t bytes) = 0;
+    virtual void connection_closed(http1_server_connection& connection) = 0;
+};
+
+/// One caller's connection: reads a request, gives it to the handler, writes the answer and starts over.
+class http1_server_connection final : public std::enable_shared_from_this<http1_server_connection> {
+public:
+    http1_server_connection(boost::asio::ip::tcp::socket socket, std::weak_ptr<http1_connection_owner> owner);
+
+    void start();
+    /// Drops the connection at once.
+    void close();
+
+private:
+    using error_code = boost::system::error_code;
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using response = boost::beast::http::response<boost::beast::http::string_body>;
+
+    void await_request();
+    void read_header();
+    void on_header();
+    void read_body();
+    void deliver();
+    void watch_for_close();
+    void answer(http1_request_id id, http1_answer given);
+    void reject(unsigned status);
+    void write(http1_answer given, bool keep);
+    void linger();
+    void arm(duration limit);
+    http1_request take_request();
+    void release_body();
+
+    boost::asio::ip::tcp::socket m_socket;
+    std::weak_ptr<http1_connection_owner> m_owner;
+    boost::asio::steady_timer m_timer;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<parser> m_parser;
+    std::shared_ptr<response> m_response;
+    http1_request_id m_request = 0;
+    std::size_t m_reserved = 0;
+    bool m_keep = false;
+    bool m_is_head = false;
+    bool m_closed = false;
+};
+
+} // namespace mulberry::detail
--- a/src/libs/peer/clientconnection.cpp
+++ b/src/libs/peer/clientconnection.cpp
@@ -28,11 +28,11 @@
 
 } // namespace
 
-client_connection::client_connection(boost::asio::io_context& context, const tls_identity& identity,
+client_connection::client_connection(boost::asio::io_context& context, std::shared_ptr<peer_security> security,
                                      const peer_settings& settings, std::shared_ptr<peer_counters> counters,
                                      std::weak_ptr<client_connection_owner> owner, std::string node_name,
                                      std::string address)
-    : http2_connection(tls_socket(context, identity.client_context()), role::client, settings, std::move(counters)),
+    : http2_connection(std::move(security), tcp::socket(context), role::client, settings, std::move(counters)),
       m_owner(std::move(owner)), m_node_name(std::move(node_name)), m_address(std::move(address)), m_resolver(context),
       m_connect_timer(context), m_idle_timer(context)
 {
@@ -62,7 +62,7 @@
 
 void client_connection::connect_to(const tcp::resolver::results_type& endpoints)
 {
-    boost::asio::async_connect(socket().lowest_layer(), endpoints,
+    boost::asio::async_connect(stream().socket(), endpoints,
                                [this, keep = shared_from_this()](const error_code& error, const tcp::endpoint&) {
                                    if (error) {
                                        close();
@@ -76,9 +76,8 @@
 void client_connection::handshake()
 {
     error_code ignored;
-    socket().lowest_layer().set_option(tcp::no_delay(true), ignored);
-    socket().async_handshake(boost::asio::ssl::stream_base::client,
-                             [this, keep = shared_from_this()](const error_code& error) {
+    stream().socket().set_option(tcp::no_delay(true), ignored);
+    stream().handshake([this, keep = shared_from_this()](const error_code& error) {
                                  if (error) {
                                      close();
                                  }
@@ -90,8 +89,8 @@
 
 void client_connection::verify_peer()
 {
-    const std::string name = authenticated_peer_name();
-    if (name != m_node_name) {
+    const std::string name = stream().authenticated_name();
+    if (security().authenticates_connections() && name != m_node_name) {
         log_warning("peer", "Expected node {} at {}, found {}.", m_node_name, m_address, name);
         close();
         return;
--- a/src/libs/peer/clientconnection.h
+++ b/src/libs/peer/clientconnection.h
@@ -2,7 +2,6 @@
 
 #include "libs/peer/http2connection.h"
 #include "libs/peer/peercaller.h"
-#include "libs/peer/tlsidentity.h"
 
 #include <deque>
 #include <map>
@@ -25,7 +24,7 @@
 /// A client's connection to one peer with its open and waiting calls.
 class client_connection final : public http2_connection {
 public:
-    client_connection(boost::asio::io_context& context, const tls_identity& identity, const peer_settings& settings,
+    client_connection(boost::asio::io_context& context, std::shared_ptr<peer_security> security, const peer_settings& settings,
                       std::shared_ptr<peer_counters> counters, std::weak_ptr<client_connection_owner> owner,
                       std::string node_name, std::string address);
 
--- a/src/libs/peer/http2connection.cpp
+++ b/src/libs/peer/http2connection.cpp
@@ -1,12 +1,10 @@
 #include "libs/peer/http2connection.h"
 
 #include "libs/base/log.h"
-#include "libs/peer/certificatename.h"
 
 #include <algorithm>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 
 namespace mulberry::detail {
 
@@ -134,27 +132,16 @@
     }
 };
 
-http2_connection::http2_connection(tls_socket socket, role side, const peer_settings& settings,
-                                   std::shared_ptr<peer_counters> counters)
-    : m_socket(std::move(socket)), m_role(side), m_settings(settings), m_counters(std::move(counters)),
-      m_probe_timer(m_socket.get_executor()), m_linger_timer(m_socket.get_executor())
+http2_connection::http2_connection(std::shared_ptr<peer_security> security, boost::asio::ip::tcp::socket socket,
+                                   role side, const peer_settings& settings, std::shared_ptr<peer_counters> counters)
+    : m_security(std::move(security)), m_stream(m_security->make_stream(std::move(socket), side)), m_role(side),
+      m_settings(settings), m_counters(std::move(counters)), m_probe_timer(m_stream->socket().get_executor()),
+      m_linger_timer(m_stream->socket().get_executor())
 {
 }
 
 http2_connection::~http2_connection() = default;
 
-std::string http2_connection::authenticated_peer_name()
-{
-    SSL* handle = m_socket.native_handle();
-    const unsigned char* protocol = nullptr;
-    unsigned int length = 0;
-    SSL_get0_alpn_selected(handle, &protocol, &length);
-    const X509* certificate = SSL_get0_peer_certificate(handle);
-    if (to_text(protocol, length) != "h2" || certificate == nullptr || SSL_get_verify_result(handle) != X509_V_OK)
-        return {};
-    return common_name(certificate).value_or(std::string());
-}
-
 void http2_connection::start_session()
 {
     nghttp2_session* session = nullptr;
@@ -199,11 +186,15 @@
 {
     const std::string length = std::to_string(payload.bytes.size());
     // The authority is mandatory in HTTP/2; the certificate already names the node.
-    const std::array<header_field, 5> fields{{{":method", "POST"},
-                                              {":scheme", "https"},
-                                              {":authority", "mulberry"},
-                                              {":path", path},
-                                              {"content-length", length}}};
+    std::vector<header_field> fields{{":method", "POST"},
+                                     {":scheme", "https"},
+                                     {":authority", "mulberry"},
+                                     {":path", path},
+                                     {"content-length", length}};
+    if (!m_security->authenticates_connections()) {
+        fields.emplace_back(peer_name_field, m_security->own_name());
+        fields.emplace_back(peer_credential_field, m_security->credential());
+    }
     submit_message(stream, fields, payload, true);
 }
 
@@ -269,7 +260,7 @@
 {
     m_writing = true;
     m_counters->bytes_sent += m_write_buffer.size();
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_write_buffer),
+    m_stream->write(boost::asio::buffer(m_write_buffer),
                              [this, keep = shared_from_this()](const error_code& error, std::size_t) {
                                  m_writing = false;
                                  if (error) {
@@ -283,7 +274,7 @@
 
 void http2_connection::read()
 {
-    m_socket.async_read_some(boost::asio::buffer(m_read_buffer),
+    m_stream->read_some(boost::asio::buffer(m_read_buffer),
                              [this, keep = shared_from_this()](const error_code& error, std::size_t count) {
                                  if (m_closed)
                                      return;
@@ -319,7 +310,7 @@
 {
     m_finishing = true;
     error_code ignored;
-    m_socket.lowest_layer().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    m_stream->socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     m_linger_timer.expires_after(linger_limit);
     m_linger_timer.async_wait([this, keep = shared_from_this()](const error_code& error) {
         if (!error)
@@ -335,7 +326,7 @@
     m_probe_timer.cancel();
     m_linger_timer.cancel();
     error_code ignored;
-    m_socket.lowest_layer().close(ignored);
+    m_stream->socket().close(ignored);
     on_closed();
 }
 
--- a/src/libs/peer/http2connection.h
+++ b/src/libs/peer/http2connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libs/peer/peersettings.h"
+#include "libs/peer/peerstream.h"
 
 #include <array>
 #include <memory>
@@ -9,14 +10,15 @@
 #include <string_view>
 #include <vector>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <nghttp2/nghttp2.h>
 
 namespace mulberry::detail {
 
-using tls_socket = boost::asio::ssl::stream<boost::asio::ip::tcp::socket>;
+/// Fields of a call between nodes whose connection proves no name.
+inline constexpr std::string_view peer_name_field = "mulberry-node";
+inline constexpr std::string_view peer_credential_field = "mulberry-fleet-secret";
+
 using header_field = std::pair<std::string_view, std::string_view>;
 
 /// A payload on its way into a stream; kept alive by its owner until the stream has closed.
@@ -25,7 +27,7 @@
     std::size_t sent = 0;
 };
 
-/// One HTTP/2 session over TLS: moves bytes between the socket and nghttp2, probes silent peers and closes without
+/// One HTTP/2 session: moves bytes between the socket and nghttp2, probes silent peers and closes without
 /// losing what was written. Subclasses give the frames their meaning. The `on_...` functions run inside nghttp2 and
 /// must not call out of the peer library.
 class http2_connection : public std::enable_shared_from_this<http2_connection> {
@@ -39,17 +41,15 @@
     bool closed() const { return m_closed; }
 
 protected:
-    enum class role { client, server };
+    using role = peer_security::role;
 
-    http2_connection(tls_socket socket, role side, const peer_settings& settings,
-                     std::shared_ptr<peer_counters> counters);
+    http2_connection(std::shared_ptr<peer_security> security, boost::asio::ip::tcp::socket socket, role side,
+                     const peer_settings& settings, std::shared_ptr<peer_counters> counters);
 
-    /// Starts HTTP/2 after the TLS handshake.
+    /// Starts HTTP/2 after the handshake.
     void start_session();
     /// Writes what nghttp2 has queued. To be called after each submission; does nothing inside nghttp2's callbacks.
     void flush();
-    /// The common name of the peer's verified certificate; empty if it has none or HTTP/2 was not negotiated.
-    std::string authenticated_peer_name();
 
     void submit_request(std::int32_t& stream, std::string_view path, outgoing_payload& payload);
     void submit_response(std::int32_t stream, std::string_view status, outgoing_payload& payload);
@@ -78,7 +78,8 @@
     /// Whether the peer is expected to be alive, so that its silence is probed.
     virtual bool expects_traffic() const = 0;
 
-    tls_socket& socket() { return m_socket; }
+    peer_stream& stream() { return *m_stream; }
+    peer_security& security() { return *m_security; }
     const peer_settings& settings() const { return m_settings; }
     peer_counters& counters() { return *m_counters; }
     bool session_started() const { return m_session != nullptr; }
@@ -99,7 +100,8 @@
     void frame_received(const nghttp2_frame& frame);
     void frame_sent(const nghttp2_frame& frame);
 
-    tls_socket m_socket;
+    std::shared_ptr<peer_security> m_security;
+    std::unique_ptr<peer_stream> m_stream;
     role m_role;
     peer_settings m_settings;
     std::shared_ptr<peer_counters> m_counters;
--- a/src/libs/peer/peerclient.cpp
+++ b/src/libs/peer/peerclient.cpp
@@ -14,8 +14,8 @@
 class peer_client::implementation final : public detail::client_connection_owner,
                                           public std::enable_shared_from_this<implementation> {
 public:
-    implementation(event_loop& loop, tls_identity identity, const peer_settings& settings)
-        : m_loop(loop), m_identity(std::move(identity)), m_settings(settings)
+    implementation(event_loop& loop, std::shared_ptr<peer_security> security, const peer_settings& settings)
+        : m_loop(loop), m_security(std::move(security)), m_settings(settings)
     {
     }
 
@@ -110,7 +110,7 @@
             m_current.erase(found);
             present->retire();
         }
-        auto made = std::make_shared<client_connection>(m_loop.context(), m_identity, m_settings, m_counters,
+        auto made = std::make_shared<client_connection>(m_loop.context(), m_security, m_settings, m_counters,
                                                         weak_from_this(), std::string(node_name), std::string(address));
         m_current.emplace(node_name, made);
         m_connections.insert(made);
@@ -132,7 +132,7 @@
     }
 
     event_loop& m_loop;
-    tls_identity m_identity;
+    std::shared_ptr<peer_security> m_security;
     peer_settings m_settings;
     std::shared_ptr<peer_counters> m_counters = std::make_shared<peer_counters>();
     std::map<std::string, std::shared_ptr<client_connection>, std::less<>> m_current;
@@ -143,8 +143,8 @@
     std::function<void()> m_stopped;
 };
 
-peer_client::peer_client(event_loop& loop, tls_identity identity, const peer_settings& settings)
-    : m_implementation(std::make_shared<implementation>(loop, std::move(identity), settings))
+peer_client::peer_client(event_loop& loop, std::shared_ptr<peer_security> security, const peer_settings& settings)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(security), settings))
 {
 }
 
--- a/src/libs/peer/peerclient.h
+++ b/src/libs/peer/peerclient.h
@@ -2,7 +2,7 @@
 
 #include "libs/peer/peercaller.h"
 #include "libs/peer/peersettings.h"
-#include "libs/peer/tlsidentity.h"
+#include "libs/peer/peerstream.h"
 
 #include <memory>
 
@@ -15,7 +15,7 @@
 /// not_sent.
 class peer_client final : public peer_caller {
 public:
-    peer_client(event_loop& loop, tls_identity identity, const peer_settings& settings = {});
+    peer_client(event_loop& loop, std::shared_ptr<peer_security> security, const peer_settings& settings = {});
     /// Drops all connections; callbacks of open calls never come.
     ~peer_client() override;
 
--- a/src/libs/peer/peercontrollink.cpp
+++ b/src/libs/peer/peercontrollink.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::array all_channels{control_channel::membership, control_channel::configuration, control_channel::shares,
-                                  control_channel::account};
+                                  control_channel::account, control_channel::quota};
 
 std::optional<control_channel> channel_of(std::string_view path)
 {
--- a/src/libs/peer/peerserver.cpp
+++ b/src/libs/peer/peerserver.cpp
@@ -24,8 +24,8 @@
 class peer_server::implementation final : public detail::server_connection_owner,
                                           public std::enable_shared_from_this<implementation> {
 public:
-    implementation(event_loop& loop, tls_identity identity, peer_handler& handler, const peer_settings& settings)
-        : m_loop(loop), m_identity(std::move(identity)), m_handler(handler), m_settings(settings),
+    implementation(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler, const peer_settings& settings)
+        : m_loop(loop), m_security(std::move(security)), m_handler(handler), m_settings(settings),
           m_acceptor(loop.context()), m_accept_timer(loop.context())
     {
     }
@@ -119,7 +119,7 @@
     void take(tcp::socket socket)
     {
         if (m_connections.size() < m_settings.max_connections) {
-            auto connection = std::make_shared<detail::server_connection>(std::move(socket), m_identity, m_settings,
+            auto connection = std::make_shared<detail::server_connection>(std::move(socket), m_security, m_settings,
                                                                           m_counters, weak_from_this());
             m_connections.insert(connection);
             connection->accept();
@@ -151,7 +151,7 @@
     }
 
     event_loop& m_loop;
-    tls_identity m_identity;
+    std::shared_ptr<peer_security> m_security;
     peer_handler& m_handler;
     peer_settings m_settings;
     std::shared_ptr<peer_counters> m_counters = std::make_shared<peer_counters>();
@@ -164,8 +164,8 @@
     std::function<void()> m_stopped;
 };
 
-peer_server::peer_server(event_loop& loop, tls_identity identity, peer_handler& handler, const peer_settings& settings)
-    : m_implementation(std::make_shared<implementation>(loop, std::move(identity), handler, settings))
+peer_server::peer_server(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler, const peer_settings& settings)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(security), handler, settings))
 {
 }
 
--- a/src/libs/peer/peerserver.h
+++ b/src/libs/peer/peerserver.h
@@ -3,19 +3,21 @@
 #include "libs/peer/peererror.h"
 #include "libs/peer/peerhandler.h"
 #include "libs/peer/peersettings.h"
-#include "libs/peer/tlsidentity.h"
+#include "libs/peer/peerstream.h"
 
 #include <boost/leaf.hpp>
 
 namespace mulberry {
 
+namespace leaf = boost::leaf;
+
 class event_loop;
 
 /// Accepts calls of other daemons. Only callers with a certificate of our authority get past the TLS handshake. Used on
 /// the event loop's thread.
 class peer_server {
 public:
-    peer_server(event_loop& loop, tls_identity identity, peer_handler& handler, const peer_settings& settings = {});
+    peer_server(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler, const peer_settings& settings = {});
     peer_server(const peer_server&) = delete;
     peer_server& operator=(const peer_server&) = delete;
     /// Drops all connections.
--- a/src/libs/peer/serverconnection.cpp
+++ b/src/libs/peer/serverconnection.cpp
@@ -71,12 +71,11 @@
     });
 }
 
-server_connection::server_connection(tcp::socket socket, const tls_identity& identity, const peer_settings& settings,
+server_connection::server_connection(tcp::socket socket, std::shared_ptr<peer_security> security, const peer_settings& settings,
                                      std::shared_ptr<peer_counters> counters,
                                      std::weak_ptr<server_connection_owner> owner)
-    : http2_connection(tls_socket(std::move(socket), identity.server_context()), role::server, settings,
-                       std::move(counters)),
-      m_owner(std::move(owner)), m_handshake_timer(this->socket().get_executor())
+    : http2_connection(std::move(security), std::move(socket), role::server, settings, std::move(counters)),
+      m_owner(std::move(owner)), m_handshake_timer(stream().socket().get_executor())
 {
 }
 
@@ -84,17 +83,17 @@
 {
     const auto keep = shared_from_this();
     error_code ignored;
-    socket().lowest_layer().set_option(tcp::no_delay(true), ignored);
+    stream().socket().set_option(tcp::no_delay(true), ignored);
     m_handshake_timer.expires_after(settings().connect_timeout);
     m_handshake_timer.async_wait([this, keep](const error_code& error) {
         if (!error && !session_started())
             close();
     });
-    socket().async_handshake(boost::asio::ssl::stream_base::server, [this, keep](const error_code& error) {
+    stream().handshake([this, keep](const error_code& error) {
         if (closed())
             return;
-        m_peer_name = error ? std::string() : authenticated_peer_name();
-        if (m_peer_name.empty()) {
+        m_peer_name = error ? std::string() : stream().authenticated_name();
+        if (error || (m_peer_name.empty() && security().authenticates_connections())) {
             close();
             return;
         }
@@ -183,6 +182,12 @@
     else if (name == ":path") {
         call->path = value.substr(0, max_path_bytes + 1);
     }
+    else if (name == peer_name_field) {
+        call->from = value;
+    }
+    else if (name == peer_credential_field) {
+        call->credential = value;
+    }
     else if (name == "content-length") {
         std::size_t length = 0;
         // nghttp2 has checked that the value is a number.
@@ -191,6 +196,14 @@
     }
 }
 
+bool server_connection::is_from_fleet(const call_state& call)
+{
+    if (security().authenticates_connections())
+        return true;
+    const std::string_view secret = security().credential();
+    return !secret.empty() && call.credential == secret && !call.from.empty();
+}
+
 void server_connection::on_fields_end(std::int32_t stream)
 {
     call_state* call = find(stream);
@@ -201,6 +214,9 @@
         ++counters().protocol_errors;
         refuse(stream, *call, "400");
     }
+    else if (!is_from_fleet(*call)) {
+        refuse(stream, *call, "404");
+    }
     else if (*call->expected > settings().max_message_bytes) {
         ++counters().oversized_messages;
         refuse(stream, *call, "413");
@@ -238,7 +254,8 @@
     const auto self = std::static_pointer_cast<server_connection>(shared_from_this());
     auto responder = std::make_shared<stream_responder>(self, m_owner, stream);
     call->responder = responder;
-    owner->deliver({m_peer_name, std::move(call->path), std::move(call->payload)}, std::move(responder));
+    const std::string& from = security().authenticates_connections() ? m_peer_name : call->from;
+    owner->deliver({from, std::move(call->path), std::move(call->payload)}, std::move(responder));
 }
 
 void server_connection::on_stream_close(std::int32_t stream, std::uint32_t code, bool reset_by_peer)
--- a/src/libs/peer/serverconnection.h
+++ b/src/libs/peer/serverconnection.h
@@ -2,7 +2,6 @@
 
 #include "libs/peer/http2connection.h"
 #include "libs/peer/peerhandler.h"
-#include "libs/peer/tlsidentity.h"
 
 #include <map>
 #include <optional>
@@ -61,7 +60,7 @@
 /// A server's connection from one peer.
 class server_connection final : public http2_connection {
 public:
-    server_connection(boost::asio::ip::tcp::socket socket, const tls_identity& identity, const peer_settings& settings,
+    server_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<peer_security> security, const peer_settings& settings,
                       std::shared_ptr<peer_counters> counters, std::weak_ptr<server_connection_owner> owner);
 
     void accept();
@@ -76,6 +75,9 @@
 private:
     struct call_state {
         std::string method;
+        /// As the call itself says, on a connection that proves no name.
+        std::string from;
+        std::string credential;
         std::string path;
         std::optional<std::size_t> expected;
         std::size_t reserved = 0;
@@ -86,6 +88,7 @@
         std::weak_ptr<stream_responder> responder;
     };
 
+    bool is_from_fleet(const call_state& call);
     void refuse(std::int32_t stream, call_state& call, std::string_view status);
     void release(call_state& call);
     call_state* find(std::int32_t stream);
--- a/src/libs/peer/tlsidentity.h
+++ b/src/libs/peer/tlsidentity.h
@@ -38,6 +38,9 @@
     boost::asio::ssl::context& server_context() const { return *m_server; }
     boost::asio::ssl::context& client_context() const { return *m_client; }
 
+    /// Security of peer connections by this identity.
+    operator std::shared_ptr<class peer_security>() const; // NOLINT(google-explicit-constructor)
+
 private:
     std::string m_node_name;
     std::shared_ptr<boost::asio::ssl::context> m_server;
--- a/src/libs/store/etcdstore.cpp
+++ b/src/libs/store/etcdstore.cpp
@@ -54,7 +54,7 @@
 
 class etcd_store::implementation final : public std::enable_shared_from_this<implementation> {
 public:
-    implementation(http_client& http, timer_service& timers, etcd_store_settings settings)
+    implementation(streaming_http_client& http, timer_service& timers, etcd_store_settings settings)
         : m_http(http), m_timers(timers), m_settings(std::move(settings))
     {
     }
@@ -138,7 +138,7 @@
     void on_stream_end(watch_id id, const std::shared_ptr<etcd_watch>& watch, leaf::result<http_answer> answer);
     void end_watch(watch_id id, const std::shared_ptr<etcd_watch>& watch, store_error error);
 
-    http_client& m_http;
+    streaming_http_client& m_http;
     timer_service& m_timers;
     etcd_store_settings m_settings;
     std::size_t m_preferred = 0;
@@ -230,7 +230,7 @@
     }
 }
 
-etcd_store::etcd_store(http_client& http, timer_service& timers, etcd_store_settings settings)
+etcd_store::etcd_store(streaming_http_client& http, timer_service& timers, etcd_store_settings settings)
     : m_implementation(std::make_shared<implementation>(http, timers, std::move(settings)))
 {
 }
--- a/src/libs/store/etcdstore.h
+++ b/src/libs/store/etcdstore.h
@@ -25,7 +25,7 @@
 /// everything else. Callbacks that are open when the object ends are not called.
 class etcd_store final : public key_value_store {
 public:
-    etcd_store(http_client& http, timer_service& timers, etcd_store_settings settings);
+    etcd_store(streaming_http_client& http, timer_service& timers, etcd_store_settings settings);
     ~etcd_store() override;
 
     void get(std::string_view key, std::function<void(leaf::result<range_result>)> done) override;
--- a/src/libs/store/keyvaluestore.h
+++ b/src/libs/store/keyvaluestore.h
@@ -90,6 +90,9 @@
     /// Reports changes of keys with the prefix whose revision is at least from_revision.
     virtual watch_id watch(std::string_view prefix, std::int64_t from_revision, watch_callback on_change) = 0;
     virtual void cancel_watch(watch_id id) = 0;
+
+    /// The latest time up to which a watch is known to have reported every change; empty if the store cannot tell.
+    virtual std::optional<time_point> watch_confirmed(watch_id /*id*/) const { return std::nullopt; }
 };
 
 } // namespace mulberry
--- a/src/plugins/calls/headerpolicy.cpp
+++ b/src/plugins/calls/headerpolicy.cpp
@@ -71,4 +71,14 @@
     return kept;
 }
 
+header_list forwardable(const header_list& headers, const field_names& names)
+{
+    header_list kept = forwardable(headers);
+    const std::array own{std::string_view(names.deadline),        std::string_view(names.organisation),
+                         std::string_view(names.calling_service), std::string_view(names.importance),
+                         std::string_view(names.context),         std::string_view(names.expected_instance)};
+    std::erase_if(kept, [&](const auto& field) { return is_one_of(field.first, own); });
+    return kept;
+}
+
 } // namespace mulberry
--- a/src/plugins/calls/headerpolicy.h
+++ b/src/plugins/calls/headerpolicy.h
@@ -2,6 +2,7 @@
 
 #include "libs/http/httpfields.h"
 #include "plugins/calls/callrequest.h"
+#include "plugins/calls/fieldnames.h"
 
 #include <string_view>
 
@@ -22,10 +23,14 @@
 inline constexpr std::string_view importance_header = "Mulberry-Importance";
 /// To callers: the answer is that of an earlier run under the same idempotency key.
 inline constexpr std::string_view replayed_header = "Mulberry-Replayed";
+inline constexpr std::string_view host_header = "Host";
 inline constexpr std::string_view idempotency_key_header = "Idempotency-Key";
 
 /// The fields that may travel on: without credentials, without fields of this system, and without those that belong to
 /// one connection (RFC 9110 section 7.6.1), among them the ones that the Connection field names.
 header_list forwardable(const header_list& headers);
 
+/// The same, also without the fields by these names that this system sets towards the upstream.
+header_list forwardable(const header_list& headers, const field_names& names);
+
 } // namespace mulberry
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -7,6 +7,7 @@
 #include "plugins/once/idempotencykey.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -17,26 +18,16 @@
 
 namespace {
 
-constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr std::string_view key_issue_prefix = "/mulberry/v1/idempotency-keys/";
 constexpr int status_created = 201;
+constexpr int status_bad_gateway = 502;
 constexpr int status_service_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
 // Fields of a call besides headers and body, for the byte budget of the link between regions.
 constexpr std::uint64_t call_overhead_bytes = 200;
 // Status that the account shows for a caller that left before its answer.
 constexpr std::uint32_t status_caller_gone = 499;
 
-/// Splits "/service/rest?query" into the service and "/rest?query".
-std::pair<std::string, std::string> split_path(std::string_view path)
-{
-    path.remove_prefix(1);
-    const std::size_t end = std::min(path.find_first_of("/?"), path.size());
-    std::string rest(path.substr(end));
-    if (!rest.starts_with('/'))
-        rest.insert(rest.begin(), '/');
-    return {std::string(path.substr(0, end)), std::move(rest)};
-}
-
 std::optional<duration> parse_milliseconds(std::string_view text)
 {
     constexpr std::int64_t longest_ms = 86'400'000;
@@ -55,6 +46,19 @@
     return bytes;
 }
 
+/// Whether an upstream may have got the attempt.
+bool arrived(const refusal& failure)
+{
+    return failure.result != outcome::not_run || failure.reason == refusal_reason::upstream_shed;
+}
+
+/// Statuses by which a caller may conclude that its request has not run.
+bool promises_not_run(int status)
+{
+    constexpr std::array promises{408, 421, 429, 503};
+    return std::ranges::find(promises, status) != promises.end();
+}
+
 } // namespace
 
 struct entry_service::pending {
@@ -82,7 +86,10 @@
 
     attempt_allowance allowance{0};
     std::uint32_t most_attempts = 1;
+    std::uint32_t most_arrivals = 1;
     std::uint32_t attempts = 0;
+    /// Attempts that an upstream may have got.
+    std::uint32_t arrivals = 0;
     bool may_have_run = false;
     bool finished = false;
 
@@ -137,9 +144,7 @@
 {
     request->handle = ++m_last_handle;
     request->received = m_parts.timers.now();
-    request->request_id = request->parent != nullptr ? request->parent->request_id
-                                                     : fmt::format("{}-{}-{}", m_settings.self.name,
-                                                                   m_settings.self.incarnation, request->handle);
+    request->request_id = request_id_of(*request);
     m_requests[request->handle] = request;
     if (request->parent == nullptr && request->input.path.starts_with(key_issue_prefix)) {
         issue_idempotency_key(*request);
@@ -162,25 +167,32 @@
     return request->finished ? 0 : request->handle;
 }
 
+std::string entry_service::request_id_of(const pending& request) const
+{
+    if (request.parent != nullptr)
+        return request.parent->request_id;
+    if (m_settings.fields.caller_sets_request_id)
+        return std::string(find_header(request.input.headers, m_settings.fields.request_id));
+    return fmt::format("{}-{}-{}", m_settings.self.name, m_settings.self.incarnation, request.handle);
+}
+
 std::optional<refusal> entry_service::match(pending& request)
 {
-    if (!request.input.path.starts_with('/'))
-        return not_run(refusal_reason::malformed_request);
-    std::tie(request.service, request.path) = split_path(request.input.path);
-    const service_document* document = m_parts.documents.find_service(request.service);
-    if (document == nullptr)
-        return not_run(refusal_reason::route_unknown);
-    const route* matched = document->match(request.input.method, request.path);
-    if (matched == nullptr)
-        return not_run(refusal_reason::route_unknown);
-    if (request.input.body.size() > document->body_cap_bytes)
+    auto found = m_parts.documents.match(request.input.method, request.input.path, request.input.host);
+    if (const auto* refused = std::get_if<refusal>(&found))
+        return *refused;
+    auto& matched = std::get<matched_route>(found);
+    request.service = std::move(matched.service);
+    request.path = std::move(matched.path);
+    request.matched = std::move(matched.rules);
+    if (request.input.body.size() > matched.body_cap_bytes)
         return not_run(refusal_reason::body_too_large);
-    request.matched = *matched;
-    request.level = matched->level;
-    request.most_attempts = std::max(document->total_attempts, 1U);
+    request.level = request.matched.level;
+    request.most_attempts = std::max(matched.total_attempts, 1U);
+    request.most_arrivals = matched.most_arrivals;
     request.allowance = attempt_allowance(request.most_attempts - 1);
-    request.deadline = request.received + matched->deadline;
-    const std::string_view wanted = find_header(request.input.headers, deadline_header);
+    request.deadline = request.received + request.matched.deadline;
+    const std::string_view wanted = find_header(request.input.headers, m_settings.fields.deadline);
     if (wanted.empty())
         return std::nullopt;
     const auto limit = parse_milliseconds(wanted);
@@ -211,17 +223,18 @@
     if (request.matched.open)
         return std::nullopt;
     const std::string_view field = find_header(request.input.headers, "authorization");
-    if (!field.starts_with(bearer_prefix))
+    if (!field.starts_with(m_settings.fields.credential_prefix))
         return not_run(refusal_reason::key_missing);
     if (!m_parts.documents.keyed_requests_allowed())
         return not_run(refusal_reason::view_stale, jittered(m_settings.default_retry_after));
-    request.key = field.substr(bearer_prefix.size());
+    request.key = field.substr(m_settings.fields.credential_prefix.size());
     const auto organisation = m_parts.documents.organisation_of(request.key);
     if (!organisation)
         return not_run(refusal_reason::key_unknown);
     if (!request.matched.allows_organisation(*organisation))
         return not_run(refusal_reason::organisation_not_allowed);
     request.organisation = *organisation;
+    request.level = m_parts.documents.level_of(request.matched, request.organisation);
     return std::nullopt;
 }
 
@@ -304,7 +317,7 @@
     call.attempt = {m_settings.self, request.sequence};
     call.request_id = request.request_id;
     call.organisation = request.organisation;
-    call.calling_service = request.parent != nullptr ? request.parent->service : std::string();
+    call.calling_service = request.parent != nullptr ? request.parent->service : m_settings.calling_service;
     call.service = request.service;
     call.route = request.matched.name;
     call.level = request.level;
@@ -317,7 +330,9 @@
     call.depth = request.depth;
     call.method = request.input.method;
     call.path = request.path;
-    call.headers = forwardable(request.input.headers);
+    call.headers = forwardable(request.input.headers, m_settings.fields);
+    if (m_settings.fields.forwards_host)
+        call.headers.emplace_back(host_header, request.input.host);
     call.body = request.input.body;
     return call;
 }
@@ -414,16 +429,14 @@
     failed.attempts_made = request->attempts;
     failed.deadline = request->deadline;
     failed.expected_time = request->last_service_time;
+    failed.arrived = arrived(failure);
+    if (failed.arrived && ++request->arrivals >= request->most_arrivals)
+        return note_retry_refusal(request, failure, retry_refusal::attempts_spent);
     const auto decision = m_retry.on_failure(failed, request->allowance, budget_of(request->service));
     const auto* refused = std::get_if<retry_refusal>(&decision);
-    m_parts.observer.on_retry_decision(failure.reason, refused != nullptr ? std::optional(*refused) : std::nullopt);
-    if (refused != nullptr) {
-        const bool spent = *refused == retry_refusal::allowance_spent || *refused == retry_refusal::budget_spent ||
-                           *refused == retry_refusal::attempts_spent;
-        if (spent && request->parent != nullptr)
-            request->parent->retries_exhausted = true;
-        return false;
-    }
+    if (refused != nullptr)
+        return note_retry_refusal(request, failure, *refused);
+    m_parts.observer.on_retry_decision(failure.reason, std::nullopt);
     request->failed_upstreams.push_back(request->upstream);
     request->last_answer.reset();
     request->retry_timer = m_parts.timers.schedule(std::get<retry_decision>(decision).delay, [this, request] {
@@ -433,6 +446,16 @@
     return true;
 }
 
+bool entry_service::note_retry_refusal(const pending_ptr& request, const refusal& failure, retry_refusal why)
+{
+    m_parts.observer.on_retry_decision(failure.reason, why);
+    const bool spent = why == retry_refusal::allowance_spent || why == retry_refusal::budget_spent ||
+                       why == retry_refusal::attempts_spent;
+    if (spent && request->parent != nullptr)
+        request->parent->retries_exhausted = true;
+    return false;
+}
+
 void entry_service::on_deadline(const pending_ptr& request)
 {
     if (request->finished)
@@ -471,8 +494,7 @@
 void entry_service::issue_idempotency_key(pending& request)
 {
     request.service = request.input.path.substr(key_issue_prefix.size());
-    const service_document* document = m_parts.documents.find_service(request.service);
-    if (request.input.method != "POST" || document == nullptr)
+    if (request.input.method != "POST" || !m_parts.documents.has_service(request.service))
         return refuse(request, not_run(refusal_reason::route_unknown));
     const auto home = m_parts.selector.choose(request.service, {});
     const member* node = home ? m_parts.members.find(*home) : nullptr;
@@ -492,20 +514,38 @@
     finish(*request, std::move(out), std::nullopt);
 }
 
+int entry_service::status_of(const refusal& why) const
+{
+    const int status = http_status(why.reason);
+    if (!m_settings.status_tells_outcome)
+        return status;
+    if (why.result != outcome::not_run && promises_not_run(status))
+        return status_bad_gateway;
+    if (why.result == outcome::not_run && status == status_gateway_timeout)
+        return status_service_unavailable;
+    return status;
+}
+
+std::string entry_service::retry_after_text(duration interval) const
+{
+    if (m_settings.fractional_retry_after)
+        return fmt::format("{:.3f}", to_seconds(interval));
+    // Whole seconds (RFC 9110); rounding up keeps the caller from coming back too early.
+    return fmt::to_string(std::chrono::ceil<std::chrono::seconds>(interval).count());
+}
+
 void entry_service::refuse(pending& request, refusal why)
 {
     if (request.may_have_run)
         why.result = outcome::unknown;
     caller_answer answer;
-    answer.status = http_status(why.reason);
+    answer.status = status_of(why);
     answer.headers.emplace_back("Content-Type", problem_content_type);
     constexpr int too_many_requests = 429;
     if (answer.status == too_many_requests || answer.status == status_service_unavailable) {
         if (why.retry_after <= duration{0})
             why.retry_after = jittered(m_settings.default_retry_after);
-        // Whole seconds (RFC 9110); rounding up keeps the caller from coming back too early.
-        answer.headers.emplace_back("Retry-After",
-                                    fmt::to_string(std::chrono::ceil<std::chrono::seconds>(why.retry_after).count()));
+        answer.headers.emplace_back("Retry-After", retry_after_text(why.retry_after));
     }
     answer.body = problem_document(why, request.request_id);
     finish(request, std::move(answer), why);
@@ -538,7 +578,8 @@
     if (why)
         record.reason = why->reason;
     m_parts.observer.on_finished(record);
-    answer.headers.emplace_back(request_id_header, request.request_id);
+    if (find_header(answer.headers, m_settings.fields.request_id).empty())
+        answer.headers.emplace_back(m_settings.fields.request_id, request.request_id);
     const answer_callback done = std::move(request.done);
     release(request);
     m_requests.erase(request.handle);
@@ -576,6 +617,13 @@
     m_requests.erase(handle);
 }
 
+void entry_service::set_retry_budget(const retry_budget_settings& settings)
+{
+    m_settings.budget = settings;
+    for (auto& [service, budget] : m_budgets)
+        budget.configure(settings);
+}
+
 retry_budget& entry_service::budget_of(const std::string& service)
 {
     const auto it = m_budgets.find(service);
--- a/src/plugins/entry/entryservice.h
+++ b/src/plugins/entry/entryservice.h
@@ -4,6 +4,7 @@
 #include "libs/base/timerservice.h"
 #include "plugins/calls/callcontext.h"
 #include "plugins/calls/calltransport.h"
+#include "plugins/calls/fieldnames.h"
 #include "plugins/calls/requestobserver.h"
 #include "plugins/entry/policy.h"
 #include "plugins/entry/ratelimiter.h"
@@ -28,6 +29,8 @@
     std::string path;
     header_list headers;
     std::string body;
+    /// The Host field where routes depend on it.
+    std::string host;
 };
 
 /// What the caller gets. Refusals have a problem document (RFC 9457) as body.
@@ -43,6 +46,13 @@
     retry_budget_settings budget;
     /// Retry-After of refusals that name none; the jitter makes it 0.5 to 1.5 times this.
     duration default_retry_after{std::chrono::seconds(1)};
+    field_names fields;
+    /// The service that callers' own requests come from; empty if they don't come from a service.
+    std::string calling_service;
+    /// Callers conclude from the status alone whether a request has run: 408, 421, 429 and 503 say that it has not.
+    bool status_tells_outcome = false;
+    /// Retry-After may have a fraction.
+    bool fractional_retry_after = false;
 };
 
 /// The parts that an entry works with. All outlive it.
@@ -86,11 +96,15 @@
 
     std::size_t in_progress() const { return m_requests.size(); }
 
+    /// Applies to all services; what has been earned is kept.
+    void set_retry_budget(const retry_budget_settings& settings);
+
 private:
     struct pending;
     using pending_ptr = std::shared_ptr<pending>;
 
     entry_handle start(const pending_ptr& request);
+    std::string request_id_of(const pending& request) const;
     std::optional<refusal> match(pending& request);
     std::optional<refusal> authenticate(pending& request);
     std::optional<refusal> check_idempotency_key(pending& request);
@@ -105,11 +119,14 @@
     void learn(const pending& request, const call_answer& answer);
     void on_failure(const pending_ptr& request, const refusal& failure, bool below, bool exhausted);
     bool retry(const pending_ptr& request, const refusal& failure, bool below, bool exhausted);
+    bool note_retry_refusal(const pending_ptr& request, const refusal& failure, retry_refusal why);
     void on_deadline(const pending_ptr& request);
     void abandon_attempt(pending& request);
     void issue_idempotency_key(pending& request);
 
     void answer_upstream(const pending_ptr& request, const call_answer& answer);
+    int status_of(const refusal& why) const;
+    std::string retry_after_text(duration interval) const;
     void refuse(pending& request, refusal why);
     void finish(pending& request, caller_answer answer, std::optional<refusal> why);
     decision_record make_record(const pending& request) const;
--- a/src/plugins/entry/policy.h
+++ b/src/plugins/entry/policy.h
@@ -1,11 +1,13 @@
 #pragma once
 
-#include "libs/documents/servicedocument.h"
+#include "libs/base/refusal.h"
+#include "plugins/entry/matchedroute.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace mulberry {
 
@@ -17,8 +19,16 @@
     policy& operator=(const policy&) = delete;
     virtual ~policy() = default;
 
-    /// The document of a service, or null.
-    virtual const service_document* find_service(std::string_view service) const = 0;
+    /// Where a request goes by its method, path and host, or why it is refused. The host is empty where routes don't
+    /// depend on it.
+    virtual std::variant<matched_route, refusal> match(std::string_view method, std::string_view path,
+                                                       std::string_view host) const = 0;
+
+    /// True if there is such a service.
+    virtual bool has_service(std::string_view service) const = 0;
+
+    /// Importance of an organisation's request on a route.
+    virtual importance level_of(const route& rules, std::string_view /*organisation*/) const { return rules.level; }
 
     /// The organisation of a key; empty if the key is unknown or withdrawn.
     virtual std::optional<std::string> organisation_of(std::string_view key) const = 0;
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -33,6 +33,8 @@
     return {refusal_reason::connection_lost, outcome::unknown, duration{0}};
 }
 
+constexpr int status_misdirected = 421;
+
 bool is_server_error(int status)
 {
     constexpr int first_server_error = 500;
@@ -51,18 +53,39 @@
 
 std::optional<refusal> guard_service::check(std::string_view from, const call_request& request)
 {
-    if (request.attempt.sender.name != from || request.service != m_settings.service)
+    if (request.attempt.sender.name != from)
         return not_run(refusal_reason::malformed_request);
+    if (request.service != m_settings.service)
+        return not_run(m_settings.dynamic_upstream ? refusal_reason::no_upstream : refusal_reason::malformed_request);
+    if (m_settings.dynamic_upstream && !m_upstream_state.present)
+        return not_run(refusal_reason::no_upstream);
     // The first copy of the attempt may have run, so nothing is claimed about the duplicate.
     if (!m_filter.accept(request.attempt))
         return refusal{refusal_reason::duplicate_attempt, outcome::unknown, duration{0}};
     if (request.remaining <= duration{0})
         return not_run(refusal_reason::deadline_expired);
-    if (m_leaving_since && m_timers.now() - *m_leaving_since > m_settings.leaving_grace)
+    if (is_past_leaving())
         return not_run(refusal_reason::leaving);
     return std::nullopt;
 }
 
+bool guard_service::is_past_leaving() const
+{
+    const time_point now = m_timers.now();
+    const bool node_left = m_leaving_since && now - *m_leaving_since > m_settings.leaving_grace;
+    const auto& since = m_upstream_state.leaving_since;
+    return node_left || (since && now - *since > m_settings.upstream_leaving_grace);
+}
+
+void guard_service::set_upstream(upstream_status status)
+{
+    m_upstream_state = std::move(status);
+    if (!m_upstream_state.service.empty())
+        m_settings.service = m_upstream_state.service;
+    if (m_upstream_state.slots > 0)
+        m_admission.set_slots(m_upstream_state.slots);
+}
+
 void guard_service::handle(std::string_view from, call_request request, answer_callback done)
 {
     const attempt_id id = request.attempt;
@@ -129,6 +152,12 @@
     const bool in_time = !m_leaving_since || it->second.received - *m_leaving_since <= m_settings.leaving_grace;
     invariant_monitor::instance().check(in_time, invariant::leaving_gets_no_work,
                                         "a call that came after the leaving grace was admitted");
+    // What waited while the upstream's grace ended must not reach it any more.
+    if (is_past_leaving() || (m_settings.dynamic_upstream && !m_upstream_state.present)) {
+        auto node = m_calls.extract(it);
+        m_admission.finished(id, duration{0}, finish_result::cancelled);
+        return refuse(node.mapped(), not_run(refusal_reason::leaving));
+    }
     hand_over(it->second);
 }
 
@@ -169,18 +198,31 @@
 http_request guard_service::make_upstream_request(const call& entry) const
 {
     const call_request& request = entry.request;
+    const field_names& names = m_settings.fields;
     const duration left = entry.context->deadline - m_timers.now();
     http_request out;
     out.method = request.method;
     out.url = m_settings.upstream_url + request.path;
-    out.headers = forwardable(request.headers);
-    out.headers.emplace_back(context_header, entry.token);
-    out.headers.emplace_back(request_id_header, request.request_id);
-    out.headers.emplace_back(deadline_header, fmt::to_string(to_milliseconds(left)));
-    out.headers.emplace_back(organisation_header, request.organisation);
-    out.headers.emplace_back(importance_header, to_string(request.level));
+    out.headers = forwardable(request.headers, names);
+    const auto add = [&out](const std::string& name, std::string_view value) {
+        if (!name.empty() && !value.empty())
+            out.headers.emplace_back(name, value);
+    };
+    if (names.forwards_host)
+        add(std::string(host_header), find_header(request.headers, host_header));
+    add(names.context, entry.token);
+    if (find_header(out.headers, names.request_id).empty())
+        add(names.request_id, request.request_id);
+    add(names.deadline, fmt::to_string(to_milliseconds(left)));
+    add(names.organisation, request.organisation);
+    add(names.calling_service, request.calling_service);
+    add(names.importance, to_string(request.level));
+    add(names.expected_instance, m_upstream_state.instance);
     out.body = request.body;
     out.timeout = left;
+    out.repeatable = request.idempotent;
+    if (names.caller_sets_request_id)
+        out.echoed_field = names.request_id;
     return out;
 }
 
@@ -191,7 +233,10 @@
         return;
     call& entry = node.mapped();
     end_context(entry);
-    if (result) {
+    if (result && says_not_executed(*result)) {
+        answer_not_executed(entry, *result);
+    }
+    else if (result) {
         answer_ran(entry, std::move(*result));
     }
     else {
@@ -199,6 +244,28 @@
     }
 }
 
+bool guard_service::says_not_executed(const http_answer& answer) const
+{
+    const field_names& names = m_settings.fields;
+    if (!names.not_executed.empty() && !find_header(answer.headers, names.not_executed).empty())
+        return true;
+    return !names.expected_instance.empty() && answer.status == status_misdirected;
+}
+
+void guard_service::answer_not_executed(call& entry, const http_answer& answer)
+{
+    const bool replaced = answer.status == status_misdirected;
+    // Another upstream has the address; nothing is known of it until it announces itself.
+    if (replaced)
+        m_upstream_state.present = false;
+    m_admission.finished(entry.request.attempt, m_timers.now() - entry.admitted, finish_result::cancelled);
+    call_answer out;
+    out.result = outcome::not_run;
+    out.reason = replaced ? refusal_reason::upstream_unreachable : refusal_reason::upstream_shed;
+    settle_record(entry, out);
+    finish(entry, std::move(out));
+}
+
 void guard_service::answer_ran(call& entry, http_answer answer)
 {
     const duration service_time = m_timers.now() - entry.admitted;
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -5,6 +5,7 @@
 #include "plugins/admission/admissionqueue.h"
 #include "plugins/calls/callanswer.h"
 #include "plugins/calls/callcontext.h"
+#include "plugins/calls/fieldnames.h"
 #include "plugins/calls/requestobserver.h"
 #include "plugins/guard/attemptfilter.h"
 #include "plugins/once/onceledger.h"
@@ -26,6 +27,22 @@
     once_settings once;
     /// After begin_leaving, calls that were sent before their sender knew are still taken for this time.
     duration leaving_grace{std::chrono::seconds(2)};
+    /// The upstream announces itself and may be replaced; see set_upstream.
+    bool dynamic_upstream = false;
+    /// After the upstream has said that it leaves, calls are still handed over for this time.
+    duration upstream_leaving_grace{std::chrono::seconds(1)};
+    field_names fields;
+};
+
+/// The upstream beside this node as it announced itself.
+struct upstream_status {
+    bool present = false;
+    /// Id of this run of the upstream.
+    std::string instance;
+    std::string service;
+    std::uint32_t slots = 0;
+    /// Set once the upstream has said that it leaves.
+    std::optional<time_point> leaving_since;
 };
 
 /// Takes calls for the upstream beside this node and answers each exactly once, unless the sender cancels it.
@@ -54,6 +71,9 @@
     /// were.
     std::size_t refuse_all(refusal_reason reason);
 
+    /// Applies what the upstream announced. Only with guard_settings::dynamic_upstream.
+    void set_upstream(upstream_status status);
+
     void set_slots(std::uint32_t slots) { m_admission.set_slots(slots); }
     std::uint64_t once_epoch() const { return m_once.epoch(); }
 
@@ -79,6 +99,9 @@
     void on_refused(const attempt_id& id, const refusal& why) override;
 
     std::optional<refusal> check(std::string_view from, const call_request& request);
+    bool is_past_leaving() const;
+    bool says_not_executed(const http_answer& answer) const;
+    void answer_not_executed(call& entry, const http_answer& answer);
     bool begin_once(call& entry);
     void hand_over(call& entry);
     http_request make_upstream_request(const call& entry) const;
@@ -102,6 +125,7 @@
     std::unordered_map<attempt_id, call> m_calls;
     std::unordered_map<std::string, std::shared_ptr<call_context>> m_contexts;
     std::optional<time_point> m_leaving_since;
+    upstream_status m_upstream_state;
 };
 
 } // namespace mulberry
--- /dev/null
+++ b/src/plugins/registry/registryentry.cpp
@@ -0,0 +1,61 @@
+#include "plugins/registry/registryentry.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mulberry {
+
+namespace {
+
+template <typename Value>
+std::optional<Value> field(const nlohmann::json& object, const char* name)
+{
+    const auto it = object.find(name);
+    if (it == object.end())
+        return std::nullopt;
+    if constexpr (std::is_same_v<Value, std::string>) {
+        if (!it->is_string())
+            return std::nullopt;
+    }
+    else {
+        if (!it->is_number_unsigned())
+            return std::nullopt;
+    }
+    return it->get<Value>();
+}
+
+} // namespace
+
+std::string encode_registry_entry(const member& node)
+{
+    return nlohmann::json{{"incarnation", node.id.incarnation},
+                          {"service", node.service},
+                          {"address", node.address},
+                          {"domain", node.location.failure_domain},
+                          {"region", node.location.region},
+                          {"state", static_cast<unsigned>(node.state)}}
+        .dump();
+}
+
+std::optional<member> decode_registry_entry(std::string_view name, std::string_view value)
+{
+    const auto object = nlohmann::json::parse(value, nullptr, false);
+    if (!object.is_object())
+        return std::nullopt;
+    const auto incarnation = field<std::uint64_t>(object, "incarnation");
+    auto service = field<std::string>(object, "service");
+    auto address = field<std::string>(object, "address");
+    auto domain = field<std::string>(object, "domain");
+    auto region = field<std::string>(object, "region");
+    const auto state = field<unsigned>(object, "state");
+    if (!incarnation || !service || !address || !domain || !region || !state ||
+        *state < static_cast<unsigned>(member_state::starting) || *state > static_cast<unsigned>(member_state::dead))
+        return std::nullopt;
+    return member{{std::string(name), *incarnation},
+                  std::move(*service),
+                  std::move(*address),
+                  {std::move(*domain), std::move(*region)},
+                  static_cast<member_state>(*state),
+                  0};
+}
+
+} // namespace mulberry
--- a/src/plugins/retry/retrybudget.cpp
+++ b/src/plugins/retry/retrybudget.cpp
@@ -9,6 +9,13 @@
 {
 }
 
+void retry_budget::configure(const retry_budget_settings& settings)
+{
+    m_level = std::min(available(), settings.capacity);
+    m_updated = m_timers.now();
+    m_settings = settings;
+}
+
 void retry_budget::on_success()
 {
     m_level = std::min(available() + m_settings.earned_per_success, m_settings.capacity);
--- a/src/plugins/retry/retrybudget.h
+++ b/src/plugins/retry/retrybudget.h
@@ -23,6 +23,7 @@
     retry_budget(retry_budget_settings settings, timer_service& timers);
 
     void on_success();
+    void configure(const retry_budget_settings& settings);
     /// Takes one token for a retry; false if less than one is left for the importance.
     bool take(importance level);
     double available() const;
--- a/src/plugins/retry/retrypolicy.cpp
+++ b/src/plugins/retry/retrypolicy.cpp
@@ -80,7 +80,7 @@
         return retry_refusal::deadline_too_close;
     if (allowance.remaining() == 0)
         return retry_refusal::allowance_spent;
-    if (!budget.take(attempt.level))
+    if (attempt.arrived && !budget.take(attempt.level))
         return retry_refusal::budget_spent;
     if (!allowance.take())
         return retry_refusal::allowance_spent;
--- a/src/plugins/retry/retrypolicy.h
+++ b/src/plugins/retry/retrypolicy.h
@@ -27,6 +27,8 @@
     bool idempotent = false;
     /// The failure arose at the next hop, not below it.
     bool next_hop_failed = true;
+    /// False if no upstream got the attempt, so that repeating it adds no load to the service.
+    bool arrived = true;
     /// The answer was marked `retries_exhausted`.
     bool retries_exhausted = false;
     /// Attempts of this call so far, the failed one included.
--- a/tests/auto/docs/tst_docs.cpp
+++ b/tests/auto/docs/tst_docs.cpp
@@ -1,4 +1,4 @@
-#include "app/mulberryd/daemonmetrics.h"
+#include "app/metrics/daemonmetrics.h"
 #include "libs/documents/daemonsettings.h"
 #include "libs/documents/documentreference.h"
 
