--- a/src/app/mulberryd/daemon.h
+++ b/src/app/mulberryd/daemon.h
@@ -14,6 +14,7 @@
 #include "libs/peer/peerclient.h"
 #include "libs/peer/peerrouter.h"
 #include "libs/peer/peerserver.h"
+#include "libs/peer/tlsidentity.h"
 
 #include <memory>
 #include <optional>
--- a/src/app/mulberryd/httpfrontend.cpp
+++ b/src/app/mulberryd/httpfrontend.cpp
@@ -16,7 +16,7 @@
         path += '?';
         path += request.query;
     }
-    return {std::move(request.method), std::move(path), std::move(request.headers), std::move(request.body)};
+    return {std::move(request.method), std::move(path), std::move(request.headers), std::move(request.body), {}};
 }
 
 entry_service::answer_callback answer_through(const std::shared_ptr<http_responder>& responder)
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -37,7 +37,7 @@
     duration timeout{std::chrono::seconds(10)};
     /// Name of a field that the server repeats in its answer. An answer with another value belongs to another request
     /// and is discarded. Empty if there is none.
-    std::string echoed_field;
+    std::string echoed_field{};
     /// False for a request that must not run twice; it avoids connections that the server may have dropped.
     bool repeatable = true;
 };
--- a/src/plugins/entry/entryservice.h
+++ b/src/plugins/entry/entryservice.h
@@ -30,7 +30,7 @@
     header_list headers;
     std::string body;
     /// The Host field where routes depend on it.
-    std::string host;
+    std::string host{};
 };
 
 /// What the caller gets. Refusals have a problem document (RFC 9457) as body.
--- a/tests/auto/libs/store/scriptedhttpclient.h
+++ b/tests/auto/libs/store/scriptedhttpclient.h
@@ -19,7 +19,7 @@
 };
 
 /// Answers requests from a list; a request beyond its end is never answered. Streams are driven by hand.
-class scripted_http_client final : public http_client {
+class scripted_http_client final : public streaming_http_client {
 public:
     explicit scripted_http_client(timer_service& timers) : m_timers(timers) {}
 
--- a/tests/auto/tools/standinstore/tst_standinstore.cpp
+++ b/tests/auto/tools/standinstore/tst_standinstore.cpp
@@ -19,7 +19,7 @@
 using nlohmann::json;
 
 /// Makes each call at once over loopback and reports its answer on the timers; it has no streams.
-class loopback_http_client final : public http_client {
+class loopback_http_client final : public streaming_http_client {
 public:
     explicit loopback_http_client(timer_service& timers) : m_timers(timers) {}
 
--- a/tests/fakes/fakeupstream.h
+++ b/tests/fakes/fakeupstream.h
@@ -23,7 +23,7 @@
 };
 
 /// An upstream behind the interface of the HTTP client. It answers with the body of the request, and reports each run.
-class fake_upstream final : public http_client {
+class fake_upstream final : public streaming_http_client {
 public:
     using run_observer = std::function<void(const http_request&)>;
     using nested_call = std::function<void(const http_request&, std::function<void()> done)>;
