Keep an upstream in use while the daemon beside it restarts

The decision lines show that calls to the smallest service were refused as queue_full and queue_delay, and that its upstreams were out of use for about 4 s at each restart: from SIGTERM on no new calls, then until the next announcement of the upstream. The entry throttle also refused nested calls, whose parents then failed with all their work.

Change: other nodes send calls until shortly before the process ends; the entry in the store names the upstream, so that a restarted daemon takes it over at once; nested calls are not throttled at the entry; the sidecar's limit is the number of slots.

--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -20,6 +20,10 @@
 constexpr duration stop_margin = std::chrono::milliseconds(300);
 // Calls that were sent before their senders knew of the stop.
 constexpr duration stop_settle_time = std::chrono::milliseconds(2500);
+// Callers stay until they have missed this node's readiness twice. Until shortly before that, other nodes go on sending
+// calls, because the upstream stays and would be idle.
+constexpr duration guard_leaving_delay = std::chrono::milliseconds(1900);
+constexpr duration guard_leaving_grace = std::chrono::milliseconds(400);
 // Half of the bound is left to other windows of time and to repeated calls below repeated ones.
 constexpr double retry_bound_share = 0.5;
 constexpr duration upstream_ramp = std::chrono::seconds(4);
@@ -32,13 +36,16 @@
 
     void begin_drain() override
     {
-        m_owner.m_guard->begin_leaving();
-        m_owner.publish_state();
+        m_owner.m_timers.schedule(guard_leaving_delay, [this] {
+            m_leaving = true;
+            m_owner.m_guard->begin_leaving();
+            m_owner.publish_state();
+        });
     }
 
     bool is_idle() const override
     {
-        return m_owner.m_entry->in_progress() == 0 && m_owner.m_guard->in_progress() == 0;
+        return m_leaving && m_owner.m_entry->in_progress() == 0 && m_owner.m_guard->in_progress() == 0;
     }
 
     std::size_t cut() override
@@ -47,8 +54,11 @@
                m_owner.m_guard->refuse_all(refusal_reason::draining);
     }
 
+    bool leaving() const { return m_leaving; }
+
 private:
     sidecar_node& m_owner;
+    bool m_leaving = false;
 };
 
 sidecar_node::sidecar_node(const sidecar_settings& settings, node_id self, const field_names& fields,
@@ -69,6 +79,7 @@
     m_registry = std::make_unique<store_registry>(registry, own, m_timers, environment.random,
                                                   environment.secure_random, environment.store);
     m_registry->add_listener(*this);
+    m_registry->on_earlier_run([this](const member& earlier) { adopt_upstream(earlier); });
     m_quotas = std::make_unique<quota_service>(quota_settings{}, m_self.name, m_timers, *m_registry,
                                                environment.control);
     m_throttle = std::make_unique<entry_throttle>(throttle_settings{}, m_timers, environment.random);
@@ -83,6 +94,9 @@
     guard.dynamic_upstream = true;
     guard.upstream_leaving_grace = from_seconds(to_seconds(m_settings.drain_limit) * upstream_leaving_share);
     guard.fields = fields;
+    guard.leaving_grace = guard_leaving_grace;
+    // A call takes longer while the calls that it makes wait, which says nothing about this upstream.
+    guard.admission.learn_limit = false;
     m_guard = std::make_unique<guard_service>(std::move(guard), m_timers, environment.secure_random,
                                               environment.upstream, environment.observer);
     m_transport = std::make_unique<local_transport>(m_self.name, m_timers, *m_guard, environment.network);
@@ -90,6 +104,7 @@
     entry.self = m_self;
     entry.fields = fields;
     entry.calling_service = m_settings.service;
+    entry.open_requests_are_nested = true;
     entry.status_tells_outcome = true;
     entry.fractional_retry_after = true;
     m_entry = std::make_unique<entry_service>(
@@ -150,13 +165,33 @@
     if (upstream && !upstream->last.service.empty())
         service = upstream->last.service;
     member_state state = member_state::starting;
-    if (m_drain->draining() || (upstream && upstream->leaving_since)) {
+    if (m_drain_adapter->leaving() || (upstream && upstream->leaving_since)) {
         state = member_state::leaving;
     }
     else if (upstream) {
         state = member_state::serving;
     }
-    m_registry->set_own(std::move(service), state);
+    member own;
+    own.service = std::move(service);
+    own.state = state;
+    if (upstream && !upstream->leaving_since) {
+        own.instance = upstream->last.instance;
+        own.slots = upstream->last.slots;
+        own.instance_born_ms = upstream->last.born_ms;
+    }
+    m_registry->set_own(own);
+}
+
+void sidecar_node::adopt_upstream(const member& earlier)
+{
+    if (earlier.instance.empty())
+        return;
+    upstream_report report;
+    report.instance = earlier.instance;
+    report.service = earlier.service;
+    report.slots = earlier.slots;
+    report.born_ms = earlier.instance_born_ms;
+    m_upstream.adopt(std::move(report));
 }
 
 void sidecar_node::on_member_changed(const member& /*changed*/)
--- a/src/app/sidecar/sidecarnode.h
+++ b/src/app/sidecar/sidecarnode.h
@@ -63,6 +63,7 @@
 
     void on_upstream_changed(const tracked_upstream& upstream);
     void on_member_changed(const member& changed) override;
+    void adopt_upstream(const member& earlier);
     void publish_state();
     void update_selector();
     void update_budgets();
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr std::string_view key_issue_prefix = "/mulberry/v1/idempotency-keys/";
+constexpr std::string_view authorization_header = "Authorization";
 constexpr int status_created = 201;
 constexpr int status_bad_gateway = 502;
 constexpr int status_service_unavailable = 503;
@@ -155,7 +156,8 @@
         refused = authenticate(*request);
     if (!refused)
         refused = check_idempotency_key(*request);
-    if (!refused && request->parent == nullptr)
+    // Refusing a nested call would waste the work that its parent has done already.
+    if (!refused && request->parent == nullptr && !is_upstream_call(*request))
         refused = m_parts.throttle.check(request->service, request->level, request->organisation);
     if (refused) {
         refuse(*request, *refused);
@@ -202,6 +204,12 @@
     return std::nullopt;
 }
 
+bool entry_service::is_upstream_call(const pending& request) const
+{
+    return m_settings.open_requests_are_nested && request.matched.open &&
+           find_header(request.input.headers, authorization_header).empty();
+}
+
 std::optional<refusal> entry_service::authenticate(pending& request)
 {
     if (request.parent != nullptr) {
@@ -222,7 +230,7 @@
     }
     if (request.matched.open)
         return std::nullopt;
-    const std::string_view field = find_header(request.input.headers, "authorization");
+    const std::string_view field = find_header(request.input.headers, authorization_header);
     if (!field.starts_with(m_settings.fields.credential_prefix))
         return not_run(refusal_reason::key_missing);
     if (!m_parts.documents.keyed_requests_allowed())
--- a/src/plugins/entry/entryservice.h
+++ b/src/plugins/entry/entryservice.h
@@ -49,6 +49,8 @@
     field_names fields;
     /// The service that callers' own requests come from; empty if they don't come from a service.
     std::string calling_service;
+    /// Requests without a key on open routes are the calls of the upstream beside this node, which carry no context.
+    bool open_requests_are_nested = false;
     /// Callers conclude from the status alone whether a request has run: 408, 421, 429 and 503 say that it has not.
     bool status_tells_outcome = false;
     /// Retry-After may have a fraction.
@@ -106,6 +108,7 @@
     entry_handle start(const pending_ptr& request);
     std::string request_id_of(const pending& request) const;
     std::optional<refusal> match(pending& request);
+    bool is_upstream_call(const pending& request) const;
     std::optional<refusal> authenticate(pending& request);
     std::optional<refusal> check_idempotency_key(pending& request);
     std::optional<refusal> reauthorise(const pending& request) const;
--- a/src/plugins/membership/member.h
+++ b/src/plugins/membership/member.h
@@ -23,6 +23,12 @@
     /// The node's own epoch for idempotency keys; the known value may lag behind by up to one probe round of the fleet.
     std::uint64_t once_epoch = 0;
 
+    /// Instance and slots of the upstream beside the node, so that a node that starts again knows it at once. Empty if
+    /// there is none that takes work.
+    std::string instance{};
+    std::uint32_t slots = 0;
+    std::int64_t instance_born_ms = 0;
+
     bool operator==(const member&) const = default;
 };
 
--- a/src/plugins/registry/registryentry.cpp
+++ b/src/plugins/registry/registryentry.cpp
@@ -17,7 +17,7 @@
             return std::nullopt;
     }
     else {
-        if (!it->is_number_unsigned())
+        if (!it->is_number_integer() || (std::is_unsigned_v<Value> && !it->is_number_unsigned()))
             return std::nullopt;
     }
     return it->get<Value>();
@@ -32,7 +32,10 @@
                           {"address", node.address},
                           {"domain", node.location.failure_domain},
                           {"region", node.location.region},
-                          {"state", static_cast<unsigned>(node.state)}}
+                          {"state", static_cast<unsigned>(node.state)},
+                          {"instance", node.instance},
+                          {"slots", node.slots},
+                          {"born", node.instance_born_ms}}
         .dump();
 }
 
@@ -50,12 +53,16 @@
     if (!incarnation || !service || !address || !domain || !region || !state ||
         *state < static_cast<unsigned>(member_state::starting) || *state > static_cast<unsigned>(member_state::dead))
         return std::nullopt;
-    return member{{std::string(name), *incarnation},
-                  std::move(*service),
-                  std::move(*address),
-                  {std::move(*domain), std::move(*region)},
-                  static_cast<member_state>(*state),
-                  0};
+    member node;
+    node.id = {std::string(name), *incarnation};
+    node.service = std::move(*service);
+    node.address = std::move(*address);
+    node.location = {std::move(*domain), std::move(*region)};
+    node.state = static_cast<member_state>(*state);
+    node.instance = field<std::string>(object, "instance").value_or(std::string());
+    node.slots = field<unsigned>(object, "slots").value_or(0);
+    node.instance_born_ms = field<std::int64_t>(object, "born").value_or(0);
+    return node;
 }
 
 } // namespace mulberry
--- a/src/plugins/registry/storeregistry.cpp
+++ b/src/plugins/registry/storeregistry.cpp
@@ -39,12 +39,17 @@
     grant();
 }
 
-void store_registry::set_own(std::string service, member_state state)
+void store_registry::set_own(const member& state)
 {
-    if (m_self.service == service && m_self.state == state)
+    member next = m_self;
+    next.service = state.service;
+    next.state = state.state;
+    next.instance = state.instance;
+    next.slots = state.slots;
+    next.instance_born_ms = state.instance_born_ms;
+    if (next == m_self)
         return;
-    m_self.service = std::move(service);
-    m_self.state = state;
+    m_self = std::move(next);
     m_nodes[m_self.id.name] = {m_self, std::nullopt};
     rebuild();
     notify(m_self);
@@ -53,7 +58,9 @@
 
 void store_registry::leave()
 {
-    set_own(m_self.service, member_state::dead);
+    member gone = m_self;
+    gone.state = member_state::dead;
+    set_own(gone);
     m_left = true;
 }
 
@@ -129,7 +136,8 @@
     }
     if (node_name == m_self.id.name) {
         m_own_revision = entry.mod_revision;
-        // An earlier run at this name, or an older state of this one.
+        if (decoded->id.incarnation != m_self.id.incarnation && m_earlier_run)
+            std::exchange(m_earlier_run, nullptr)(*decoded);
         if (*decoded != m_self)
             publish();
         return;
--- a/src/plugins/registry/storeregistry.h
+++ b/src/plugins/registry/storeregistry.h
@@ -32,8 +32,10 @@
 
     void start();
 
-    /// Publishes what the own node does.
-    void set_own(std::string service, member_state state);
+    /// Publishes what the own node and the upstream beside it do. Name, address and location of the node stay.
+    void set_own(const member& state);
+    /// Called once with the entry of an earlier run at this name, if the store still has it.
+    void on_earlier_run(std::function<void(const member&)> callback) { m_earlier_run = std::move(callback); }
     /// Ends the own lease, so that the others drop the node at once.
     void leave();
 
@@ -85,6 +87,7 @@
     std::vector<member> m_members;
     std::vector<member_listener*> m_listeners;
     std::function<void(const std::string&)> m_secret_known;
+    std::function<void(const member&)> m_earlier_run;
     std::string m_secret;
     lease_id m_lease = 0;
     std::int64_t m_own_revision = 0;
--- a/src/plugins/upstream/upstreamtracker.cpp
+++ b/src/plugins/upstream/upstreamtracker.cpp
@@ -51,6 +51,16 @@
     return true;
 }
 
+void upstream_tracker::adopt(upstream_report report)
+{
+    if (m_current)
+        return;
+    log_info(log_part, "Upstream {} of {} with {} slots is adopted from an earlier run of this node.", report.instance,
+             report.service, report.slots);
+    m_current = tracked_upstream{std::move(report), std::nullopt, m_timers.now()};
+    m_on_changed(*m_current);
+}
+
 void upstream_tracker::deregister(const std::string& instance, std::optional<std::int64_t> born_ms)
 {
     if (!m_current) {
--- a/src/plugins/upstream/upstreamtracker.h
+++ b/src/plugins/upstream/upstreamtracker.h
@@ -41,6 +41,8 @@
 
     /// Takes a report. Returns false if it is older than what is known; the sender may be told that it was heard.
     bool report(upstream_report report);
+    /// Takes over what an earlier run of this node knew. Any report replaces it.
+    void adopt(upstream_report report);
     /// The upstream ends. An instance that is not the present one is ignored.
     void deregister(const std::string& instance, std::optional<std::int64_t> born_ms);
 
