--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "app/transport/localtransport.h"
 #include "app/node/policyview.h"
+#include "app/transport/localtransport.h"
 #include "libs/http/httpclient.h"
 #include "plugins/account/decisionlog.h"
 #include "plugins/drain/draincontroller.h"
--- a/src/app/node/policyview.cpp
+++ b/src/app/node/policyview.cpp
@@ -71,8 +71,8 @@
     if (rules == nullptr)
         return not_run(refusal_reason::route_unknown);
     const std::uint32_t attempts = std::max(document->second.total_attempts, 1U);
-    return matched_route{std::move(service), std::move(rest), *rules, document->second.body_cap_bytes, attempts,
-                         attempts};
+    return matched_route{std::move(service), std::move(rest), *rules, document->second.body_cap_bytes,
+                         attempts,           attempts};
 }
 
 std::optional<std::string> policy_view::organisation_of(std::string_view key) const
--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -151,15 +151,10 @@
     store_follower_listener& listener = *this;
     m_configuration =
         std::make_unique<store_follower>(m_timers, m_random, *m_store, platform.configuration_key(), listener);
-    const sidecar_environment environment{m_timers,
-                                          m_random,
-                                          m_secure_random,
-                                          *m_store,
-                                          m_transport,
-                                          m_control,
-                                          m_upstream_http,
-                                          m_observer,
-                                          [this] { return m_configuration->confirmed(); }};
+    const sidecar_environment environment{
+        m_timers,        m_random,    m_secure_random,
+        *m_store,        m_transport, m_control,
+        m_upstream_http, m_observer,  [this] { return m_configuration->confirmed(); }};
     m_node = std::make_unique<sidecar_node>(m_settings, node_id{m_settings.node_name, start_time_ms()},
                                             platform.fields(), environment);
     m_node->registry().on_secret([this](const std::string& secret) { m_security->set_secret(secret); });
--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -80,13 +80,13 @@
                                                   environment.secure_random, environment.store);
     m_registry->add_listener(*this);
     m_registry->on_earlier_run([this](const member& earlier) { adopt_upstream(earlier); });
-    m_quotas = std::make_unique<quota_service>(quota_settings{}, m_self.name, m_timers, *m_registry,
-                                               environment.control);
+    m_quotas =
+        std::make_unique<quota_service>(quota_settings{}, m_self.name, m_timers, *m_registry, environment.control);
     m_throttle = std::make_unique<entry_throttle>(throttle_settings{}, m_timers, environment.random);
     routing_settings routing;
     routing.ramp = upstream_ramp;
-    m_selector = std::make_unique<upstream_selector>(routing, m_self.name, m_settings.location, m_timers,
-                                                     environment.random);
+    m_selector =
+        std::make_unique<upstream_selector>(routing, m_self.name, m_settings.location, m_timers, environment.random);
     guard_settings guard;
     guard.self = m_self;
     guard.service = m_settings.service;
--- a/src/app/sidecar/sidecarnode.h
+++ b/src/app/sidecar/sidecarnode.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "app/transport/localtransport.h"
 #include "app/sidecar/sidecarsettings.h"
+#include "app/transport/localtransport.h"
 #include "libs/http/httpclient.h"
 #include "libs/store/keyvaluestore.h"
 #include "plugins/drain/draincontroller.h"
--- a/src/app/sidecar/sidecarsettingsfile.cpp
+++ b/src/app/sidecar/sidecarsettingsfile.cpp
@@ -101,8 +101,8 @@
 
 void add_network_fields(field_table<settings>& fields)
 {
-    fields.push_back(required(listen_field("callers_listen", &settings::callers,
-                                           "Where callers and the upstream itself send requests.")));
+    fields.push_back(required(
+        listen_field("callers_listen", &settings::callers, "Where callers and the upstream itself send requests.")));
     fields.push_back(required(listen_field("peers_listen", &settings::peers, "Where other daemons connect.")));
     fields.push_back(
         required(listen_field("readiness_listen", &settings::readiness, "Where the platform asks for readiness.")));
@@ -111,8 +111,8 @@
     fields.push_back(
         listen_field("metrics_listen", &settings::metrics, "Where counters are served; without it they are not."));
     fields.push_back(required(address_field("store", &settings::store_address, "Address of the platform's store.")));
-    fields.push_back(time_field("shortest_lease", &settings::shortest_lease, 100ms, 10min,
-                                "Shortest lease that the store grants."));
+    fields.push_back(
+        time_field("shortest_lease", &settings::shortest_lease, 100ms, 10min, "Shortest lease that the store grants."));
 }
 
 void add_limit_fields(field_table<settings>& fields)
--- a/src/libs/eventloop/asiotimerservice.cpp
+++ b/src/libs/eventloop/asiotimerservice.cpp
@@ -16,8 +16,8 @@
     // and withdrawals end in time. Timers then fire late by what the suspension took.
     timespec now{};
     clock_gettime(CLOCK_BOOTTIME, &now);
-    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(now.tv_sec) +
-                                                           std::chrono::nanoseconds(now.tv_nsec)));
+    return time_point(
+        std::chrono::duration_cast<duration>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 timer_id asio_timer_service::schedule(duration delay, std::function<void()> callback)
--- a/src/libs/http1/http1client.cpp
+++ b/src/libs/http1/http1client.cpp
@@ -64,8 +64,7 @@
         m_idle.clear();
     }
 
-    void finished(http1_exchange& connection, http_call_id id, leaf::result<http_answer> result,
-                  bool reusable) override
+    void finished(http1_exchange& connection, http_call_id id, leaf::result<http_answer> result, bool reusable) override
     {
         const auto node = m_open.extract(id);
         if (reusable)
@@ -113,7 +112,8 @@
             return nullptr;
         auto connection = found->second.back();
         const duration idle = m_timers.now() - connection->idle_since();
-        const duration limit = repeatable ? connection->idle_limit() : std::min(connection->idle_limit(), m_settings.safe_idle);
+        const duration limit =
+            repeatable ? connection->idle_limit() : std::min(connection->idle_limit(), m_settings.safe_idle);
         if (idle >= limit)
             return nullptr;
         found->second.pop_back();
--- a/src/libs/http1/http1exchange.cpp
+++ b/src/libs/http1/http1exchange.cpp
@@ -47,8 +47,8 @@
 http1_exchange::http1_exchange(boost::asio::io_context& context, timer_service& timers,
                                const http1_client_settings& settings, std::weak_ptr<http1_exchange_owner> owner,
                                std::string server)
-    : m_socket(context), m_timers(timers), m_settings(settings), m_owner(std::move(owner)),
-      m_server(std::move(server)), m_timer(context), m_idle_limit(settings.idle_timeout)
+    : m_socket(context), m_timers(timers), m_settings(settings), m_owner(std::move(owner)), m_server(std::move(server)),
+      m_timer(context), m_idle_limit(settings.idle_timeout)
 {
 }
 
@@ -181,8 +181,8 @@
     note_keep_alive();
     // Bytes after a whole answer belong to no request, and a request that is still being written ends with the
     // connection.
-    const bool reusable = !whole_by_close && m_parser->keep_alive() && m_buffer.size() == 0 && !m_writing &&
-                          m_idle_limit > duration{0};
+    const bool reusable =
+        !whole_by_close && m_parser->keep_alive() && m_buffer.size() == 0 && !m_writing && m_idle_limit > duration{0};
     auto message = m_parser->release();
     http_answer answer;
     answer.status = static_cast<int>(message.result_int());
--- a/src/libs/http1/http1serverconnection.cpp
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -197,23 +197,22 @@
 
 void http1_server_connection::watch_for_close()
 {
-    m_socket.async_wait(
-        tcp::socket::wait_read, [self = shared_from_this(), id = m_request](const error_code& error) {
-            if (self->m_closed || self->m_request != id)
-                return;
-            std::array<char, 1> byte{};
-            error_code result = error;
-            std::size_t count = 0;
-            if (!result) {
-                self->m_socket.non_blocking(true, result);
-                count = self->m_socket.receive(boost::asio::buffer(byte), tcp::socket::message_peek, result);
-            }
-            if (result == boost::asio::error::would_block)
-                return self->watch_for_close();
-            const bool has_next_request = !result && count > 0;
-            if (!has_next_request)
-                self->close();
-        });
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), id = m_request](const error_code& error) {
+        if (self->m_closed || self->m_request != id)
+            return;
+        std::array<char, 1> byte{};
+        error_code result = error;
+        std::size_t count = 0;
+        if (!result) {
+            self->m_socket.non_blocking(true, result);
+            count = self->m_socket.receive(boost::asio::buffer(byte), tcp::socket::message_peek, result);
+        }
+        if (result == boost::asio::error::would_block)
+            return self->watch_for_close();
+        const bool has_next_request = !result && count > 0;
+        if (!has_next_request)
+            self->close();
+    });
 }
 
 void http1_server_connection::answer(http1_request_id id, http1_answer given)
--- a/src/libs/peer/clientconnection.cpp
+++ b/src/libs/peer/clientconnection.cpp
@@ -78,13 +78,13 @@
     error_code ignored;
     stream().socket().set_option(tcp::no_delay(true), ignored);
     stream().handshake([this, keep = shared_from_this()](const error_code& error) {
-                                 if (error) {
-                                     close();
-                                 }
-                                 else if (!closed()) {
-                                     verify_peer();
-                                 }
-                             });
+        if (error) {
+            close();
+        }
+        else if (!closed()) {
+            verify_peer();
+        }
+    });
 }
 
 void client_connection::verify_peer()
--- a/src/libs/peer/clientconnection.h
+++ b/src/libs/peer/clientconnection.h
@@ -24,9 +24,9 @@
 /// A client's connection to one peer with its open and waiting calls.
 class client_connection final : public http2_connection {
 public:
-    client_connection(boost::asio::io_context& context, std::shared_ptr<peer_security> security, const peer_settings& settings,
-                      std::shared_ptr<peer_counters> counters, std::weak_ptr<client_connection_owner> owner,
-                      std::string node_name, std::string address);
+    client_connection(boost::asio::io_context& context, std::shared_ptr<peer_security> security,
+                      const peer_settings& settings, std::shared_ptr<peer_counters> counters,
+                      std::weak_ptr<client_connection_owner> owner, std::string node_name, std::string address);
 
     void connect();
     void submit(peer_call_id id, std::string path, std::string payload);
--- a/src/libs/peer/http2connection.cpp
+++ b/src/libs/peer/http2connection.cpp
@@ -261,31 +261,31 @@
     m_writing = true;
     m_counters->bytes_sent += m_write_buffer.size();
     m_stream->write(boost::asio::buffer(m_write_buffer),
-                             [this, keep = shared_from_this()](const error_code& error, std::size_t) {
-                                 m_writing = false;
-                                 if (error) {
-                                     close();
-                                 }
-                                 else {
-                                     flush();
-                                 }
-                             });
+                    [this, keep = shared_from_this()](const error_code& error, std::size_t) {
+                        m_writing = false;
+                        if (error) {
+                            close();
+                        }
+                        else {
+                            flush();
+                        }
+                    });
 }
 
 void http2_connection::read()
 {
     m_stream->read_some(boost::asio::buffer(m_read_buffer),
-                             [this, keep = shared_from_this()](const error_code& error, std::size_t count) {
-                                 if (m_closed)
-                                     return;
-                                 if (error) {
-                                     close();
-                                     return;
-                                 }
-                                 receive(count);
-                                 if (!m_closed)
-                                     read();
-                             });
+                        [this, keep = shared_from_this()](const error_code& error, std::size_t count) {
+                            if (m_closed)
+                                return;
+                            if (error) {
+                                close();
+                                return;
+                            }
+                            receive(count);
+                            if (!m_closed)
+                                read();
+                        });
 }
 
 void http2_connection::receive(std::size_t count)
--- a/src/libs/peer/peerhandler.h
+++ b/src/libs/peer/peerhandler.h
@@ -6,8 +6,8 @@
 
 namespace mulberry {
 
-/// A whole call as received. The sender's name is proved by its certificate or, between nodes that share a secret, stated by
-/// the sender; path and payload are untrusted.
+/// A whole call as received. The sender's name is proved by its certificate or, between nodes that share a secret,
+/// stated by the sender; path and payload are untrusted.
 struct peer_request {
     std::string from;
     std::string path;
--- a/src/libs/peer/peerserver.cpp
+++ b/src/libs/peer/peerserver.cpp
@@ -24,7 +24,8 @@
 class peer_server::implementation final : public detail::server_connection_owner,
                                           public std::enable_shared_from_this<implementation> {
 public:
-    implementation(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler, const peer_settings& settings)
+    implementation(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler,
+                   const peer_settings& settings)
         : m_loop(loop), m_security(std::move(security)), m_handler(handler), m_settings(settings),
           m_acceptor(loop.context()), m_accept_timer(loop.context())
     {
@@ -164,7 +165,8 @@
     std::function<void()> m_stopped;
 };
 
-peer_server::peer_server(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler, const peer_settings& settings)
+peer_server::peer_server(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler,
+                         const peer_settings& settings)
     : m_implementation(std::make_shared<implementation>(loop, std::move(security), handler, settings))
 {
 }
--- a/src/libs/peer/peerserver.h
+++ b/src/libs/peer/peerserver.h
@@ -17,7 +17,8 @@
 /// the event loop's thread.
 class peer_server {
 public:
-    peer_server(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler, const peer_settings& settings = {});
+    peer_server(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler,
+                const peer_settings& settings = {});
     peer_server(const peer_server&) = delete;
     peer_server& operator=(const peer_server&) = delete;
     /// Drops all connections.
--- a/src/libs/peer/serverconnection.cpp
+++ b/src/libs/peer/serverconnection.cpp
@@ -71,8 +71,8 @@
     });
 }
 
-server_connection::server_connection(tcp::socket socket, std::shared_ptr<peer_security> security, const peer_settings& settings,
-                                     std::shared_ptr<peer_counters> counters,
+server_connection::server_connection(tcp::socket socket, std::shared_ptr<peer_security> security,
+                                     const peer_settings& settings, std::shared_ptr<peer_counters> counters,
                                      std::weak_ptr<server_connection_owner> owner)
     : http2_connection(std::move(security), std::move(socket), role::server, settings, std::move(counters)),
       m_owner(std::move(owner)), m_handshake_timer(stream().socket().get_executor())
--- a/src/libs/peer/serverconnection.h
+++ b/src/libs/peer/serverconnection.h
@@ -60,8 +60,9 @@
 /// A server's connection from one peer.
 class server_connection final : public http2_connection {
 public:
-    server_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<peer_security> security, const peer_settings& settings,
-                      std::shared_ptr<peer_counters> counters, std::weak_ptr<server_connection_owner> owner);
+    server_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<peer_security> security,
+                      const peer_settings& settings, std::shared_ptr<peer_counters> counters,
+                      std::weak_ptr<server_connection_owner> owner);
 
     void accept();
     /// Announces the end to the peer and ends once its calls are answered.
--- a/src/plugins/quota/quotaservice.cpp
+++ b/src/plugins/quota/quotaservice.cpp
@@ -77,7 +77,7 @@
     }
     if (!hears_keeper())
         return done(subject.take_share(now, m_members.members().size()) ? std::nullopt
-                                                                       : std::optional(over_rate(subject)));
+                                                                        : std::optional(over_rate(subject)));
     if (subject.is_dry(now))
         return done(over_rate(subject));
     subject.waiters.push_back({now, std::move(done)});
@@ -88,14 +88,14 @@
 
 void quota_service::arm_wait(const std::string& organisation)
 {
-    m_timers.schedule(m_settings.wait, [this, organisation, since = m_timers.now(),
-                                        alive = std::weak_ptr<int>(m_alive)] {
-        if (alive.expired())
-            return;
-        const auto found = m_pockets.find(organisation);
-        if (found != m_pockets.end())
-            refuse_waiters(found->second, since);
-    });
+    m_timers.schedule(m_settings.wait,
+                      [this, organisation, since = m_timers.now(), alive = std::weak_ptr<int>(m_alive)] {
+                          if (alive.expired())
+                              return;
+                          const auto found = m_pockets.find(organisation);
+                          if (found != m_pockets.end())
+                              refuse_waiters(found->second, since);
+                      });
 }
 
 void quota_service::refuse_waiters(pocket& subject, time_point waiting_since)
--- /dev/null
+++ b/tests/auto/libs/http1/tst_http1server.cpp
@@ -0,0 +1,145 @@
+#include "libs/http1/http1server.h"
+
+#include "loopback.h"
+
+#include <map>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+namespace mulberry {
+
+namespace {
+
+struct recording_handler final : http1_handler {
+    void on_request(http1_request_id id, http1_request request, answer_callback done) override
+    {
+        requests.push_back(std::move(request));
+        if (hold) {
+            held.emplace(id, std::move(done));
+            return;
+        }
+        done({200, {{"X-Answer", "yes"}}, "body of " + requests.back().target});
+    }
+
+    void on_caller_gone(http1_request_id id) override
+    {
+        held.erase(id);
+        ++gone;
+    }
+
+    std::vector<http1_request> requests;
+    std::map<http1_request_id, answer_callback> held;
+    bool hold = false;
+    int gone = 0;
+};
+
+http1_limits small_limits()
+{
+    http1_limits limits;
+    limits.max_header_bytes = 2000;
+    limits.max_body_bytes = 1000;
+    limits.max_held_bytes = 800;
+    return limits;
+}
+
+struct server_fixture : loopback {
+    recording_handler handler;
+    http1_server server{loop, handler, small_limits()};
+    std::uint16_t port = server.start("127.0.0.1", 0).value();
+};
+
+} // namespace
+
+// Guards against answers that mix, or connections that end, when a caller keeps one for several requests.
+BOOST_FIXTURE_TEST_CASE(a_kept_connection_takes_several_requests, server_fixture)
+{
+    raw_client client(*this, port);
+    client.send("GET /one HTTP/1.1\r\nHost: a\r\n\r\nPOST /two HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc");
+    BOOST_TEST(client.received("body of /one"));
+    BOOST_TEST(client.received("body of /two"));
+    client.send("POST /three HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n");
+    BOOST_TEST(client.received("body of /three"));
+    BOOST_REQUIRE(handler.requests.size() == 3U);
+    BOOST_TEST(handler.requests[1].body == "abc");
+    BOOST_TEST(handler.requests[2].body == "xyz");
+}
+
+// Guards against requests that the next hop could read differently, and against callers that wait for an answer to one.
+BOOST_FIXTURE_TEST_CASE(unclear_requests_are_refused_once, server_fixture)
+{
+    const std::vector<std::pair<std::string, std::string>> table{
+        {"GET / HTTP/1.1\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\nabc", "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+        {"not a request\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n", "413"},
+        {"GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(3000, 'x') + "\r\n\r\n", "431"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n", "503"},
+    };
+    for (const auto& [bytes, status] : table) {
+        raw_client client(*this, port);
+        client.send(bytes);
+        BOOST_TEST(client.ended(), bytes.substr(0, 80));
+        BOOST_TEST(client.bytes().starts_with("HTTP/1.1 " + status), bytes.substr(0, 80) << client.bytes());
+        BOOST_TEST(client.bytes().find("HTTP/1.1", 1) == std::string::npos, bytes.substr(0, 80));
+    }
+    BOOST_TEST(handler.requests.empty());
+}
+
+// Guards against work for a caller that has left.
+BOOST_FIXTURE_TEST_CASE(the_handler_hears_of_a_caller_that_leaves, server_fixture)
+{
+    handler.hold = true;
+    raw_client client(*this, port);
+    client.send("GET /one HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(run_until([&] { return handler.held.size() == 1; }));
+    client.close();
+    BOOST_TEST(run_until([&] { return handler.gone == 1; }));
+    BOOST_TEST(server.open_connections() == 0U);
+}
+
+// Guards against a stop that cuts a request, and against connections that stay open after it.
+BOOST_FIXTURE_TEST_CASE(answers_end_their_connections_while_closing, server_fixture)
+{
+    handler.hold = true;
+    raw_client client(*this, port);
+    client.send("GET /one HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(run_until([&] { return handler.held.size() == 1; }));
+    server.begin_closing();
+    handler.held.begin()->second({200, {}, "late"});
+    BOOST_TEST(client.ended());
+    BOOST_TEST(client.bytes().find("Connection: close") != std::string::npos);
+    BOOST_TEST(client.bytes().ends_with("late"));
+}
+
+// Guards against a HEAD answer with a body, and 204 with a length.
+BOOST_FIXTURE_TEST_CASE(answers_without_a_body, server_fixture)
+{
+    raw_client client(*this, port);
+    client.send("HEAD /one HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(client.received("Content-Length: 12\r\n"));
+    BOOST_TEST(client.bytes().find("body of") == std::string::npos);
+    handler.hold = true;
+    client.send("GET /two HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(run_until([&] { return handler.held.size() == 1; }));
+    handler.held.begin()->second({204, {}, ""});
+    BOOST_TEST(client.received("204 No Content\r\n\r\n"));
+}
+
+// Guards against a caller that waits for leave to send its body.
+BOOST_FIXTURE_TEST_CASE(a_caller_may_ask_before_it_sends_the_body, server_fixture)
+{
+    raw_client client(*this, port);
+    client.send("POST /one HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+    BOOST_TEST(client.received("100 Continue\r\n\r\n"));
+    client.send("abc");
+    BOOST_TEST(client.received("body of /one"));
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/tests/auto/platform/tst_platformcodecs.cpp
@@ -0,0 +1,169 @@
+#include "platform/adapter.h"
+#include "platform/announcementcodec.h"
+#include "platform/configurationcodec.h"
+#include "platform/jsonfields.h"
+#include "platform/kvcodec.h"
+
+#include "app/sidecar/sidecarsettingsfile.h"
+#include "libs/base/asyncerror.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace mulberry::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view configuration_text = R"({"version":"r7","routes":{
+ "r-a":{"hostname":"h.example","path_prefix":"/a/","route_type":"idempotent","timeout":"1200ms","aim":"1500ms","priority":2,
+        "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":2,"public":false},
+ "r-b":{"hostname":"h.example","path_prefix":"/b/","route_type":"non_idempotent","timeout":"1.2s","priority":0,
+        "service":"s3","max_attempts":1,"public":true}},
+ "services":{"s1":{},"s2":{},"s3":{}},
+ "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15s"},
+ "tenants":{"t1":{"api_keys":["k1","k2"],"priority":1,"rate_per_s":151,"burst":150.5},"t2":{"api_keys":["k3"]}}})";
+
+std::string replaced(std::string_view text, std::string_view from, std::string_view to)
+{
+    std::string out(text);
+    out.replace(out.find(from), from.size(), to);
+    return out;
+}
+
+} // namespace
+
+// Guards against fields of the configuration that are read as something else.
+BOOST_AUTO_TEST_CASE(a_configuration_is_translated)
+{
+    const auto decoded = decode_configuration(configuration_text);
+    const auto& configuration = std::get<host_configuration>(decoded);
+    BOOST_TEST(configuration.version == 7);
+    BOOST_REQUIRE(configuration.routes.size() == 2U);
+    const host_route& split = configuration.routes[0];
+    BOOST_TEST(split.idempotent);
+    BOOST_TEST(split.services.size() == 2U);
+    BOOST_TEST(split.services[0].weight == 90U);
+    BOOST_TEST((split.timeout == 1200ms));
+    BOOST_TEST((split.level == importance::normal));
+    const host_route& open = configuration.routes[1];
+    BOOST_TEST(open.open);
+    BOOST_TEST(!open.idempotent);
+    BOOST_TEST((open.timeout == 1200ms));
+    BOOST_TEST((open.level == importance::critical));
+    BOOST_TEST(configuration.limits.max_body_bytes == 1048576U);
+    BOOST_TEST((configuration.limits.idle_timeout == 15s));
+    BOOST_REQUIRE(configuration.organisations.size() == 2U);
+    BOOST_TEST((configuration.organisations[0].level == importance::high));
+    BOOST_TEST(configuration.organisations[0].burst == 150.5);
+    BOOST_TEST(configuration.organisations[1].rate == 0);
+    BOOST_TEST(!configuration.organisations[1].level.has_value());
+}
+
+// Guards against a configuration that is used in part: a route or key that cannot be read would be missing.
+BOOST_AUTO_TEST_CASE(a_configuration_with_a_fault_is_not_used)
+{
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"r7\"", "7"},
+             {"\"r7\"", "\"r7x\""},
+             {"\"1200ms\"", "1200"},
+             {"\"weight\":90", "\"weight\":\"90\""},
+             {"\"k1\"", "17"},
+             {"\"hostname\":\"h.example\",", ""},
+             {"\"service\":\"s3\",", ""},
+         }) {
+        const auto decoded = decode_configuration(replaced(configuration_text, from, to));
+        BOOST_TEST(std::holds_alternative<std::string>(decoded), from << " to " << to);
+    }
+    BOOST_TEST(std::holds_alternative<std::string>(decode_configuration("\xff")));
+}
+
+// Guards against heartbeats of other writers that name an upstream.
+BOOST_AUTO_TEST_CASE(heartbeats_are_read_or_refused)
+{
+    constexpr std::string_view good =
+        R"({"address":"10.0.0.9:80","born":1700000000123,"info":{"service":"s1","version":"v1","zone":"z","slots":140},)"
+        R"("status":{"state":"draining","sequence":4,"cold_remaining":"0ms"}})";
+    const auto report = decode_heartbeat("i-1", good);
+    BOOST_REQUIRE(report.has_value());
+    BOOST_TEST(report->leaving);
+    BOOST_TEST(report->slots == 140U);
+    BOOST_TEST(report->sequence == 4U);
+    BOOST_TEST(report->born_ms == 1700000000123);
+    BOOST_TEST(decode_born(good).value() == 1700000000123);
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"draining\"", "\"asleep\""},
+             {"\"slots\":140", "\"slots\":\"140\""},
+             {"\"slots\":140", "\"slots\":0"},
+             {"\"sequence\":4", "\"sequence\":-4"},
+             {"\"service\":\"s1\"", "\"service\":null"},
+             {"\"status\"", "\"state\""},
+         }) {
+        BOOST_TEST(!decode_heartbeat("i-1", replaced(good, from, to)).has_value(), from << " to " << to);
+    }
+    BOOST_TEST(!decode_heartbeat("i-1", "").has_value());
+}
+
+// Guards against values that change on the way through the store.
+BOOST_AUTO_TEST_CASE(store_bodies_are_translated)
+{
+    const std::string transaction = encode_transaction("a/b", 4, std::string("\x00\xff value", 8), 77);
+    const json message = json::parse(transaction);
+    BOOST_TEST(message["expected_rev"][0]["revision"] == 4);
+    BOOST_TEST(message["writes"][0]["lease"] == 77);
+    const json item{{"key", "a/b"}, {"value", message["writes"][0]["value"]}, {"revision", 9}, {"created", 2}};
+    const auto entry = decode_item(item.dump());
+    BOOST_REQUIRE(entry.has_value());
+    BOOST_TEST((entry->value == std::string("\x00\xff value", 8)));
+    BOOST_TEST(entry->mod_revision == 9);
+    const auto page = decode_watch(
+        R"({"events":[{"key":"k","value":"eA==","revision":5,"created":5,"lease":0},{"key":"g","revision":6,"removed":true},
+            {"key":7}],"store_revision":6})");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_REQUIRE(page->events.size() == 2U);
+    BOOST_TEST(page->events[0].entry.value == "x");
+    BOOST_TEST(page->events[1].deleted);
+    BOOST_TEST(query_value("a b/c&d") == "a%20b/c%26d");
+}
+
+// Guards against a settings file that is filled in as the platform does and refused, or faults that are not named.
+BOOST_AUTO_TEST_CASE(settings_are_checked)
+{
+    const std::string good = "node_name = \"n\"\nfailure_domain = \"z\"\nregion = \"r\"\nservice = \"s\"\n"
+                             "upstream = \"10.1.0.26:8547\"\ncallers_listen = \"10.1.0.26:8548\"\n"
+                             "peers_listen = \"10.1.0.26:8543\"\nreadiness_listen = \"10.1.0.26:8546\"\n"
+                             "announcements_listen = \"10.1.0.26:8540\"\nstore = \"10.200.1.7:8545\"\n"
+                             "drain_limit = \"2.5s\"\nretry_ratio = 0.2\nretry_slack = 48\nmemory_limit_mb = 260\n";
+    const auto settings = parse_sidecar_settings(good, "s.toml");
+    BOOST_REQUIRE(static_cast<bool>(settings));
+    BOOST_TEST((settings->drain_limit == 2500ms));
+    BOOST_TEST(settings->retry_slack == 48);
+    BOOST_TEST(settings->peers.port == 8543);
+    auto broken = parse_sidecar_settings(replaced(good, "\"2.5s\"", "\"soon\""), "s.toml");
+    const auto errors = error_of(std::move(broken), document_errors{}).errors;
+    BOOST_REQUIRE(errors.size() == 1U);
+    BOOST_TEST(errors[0].key == "drain_limit");
+    BOOST_TEST(errors[0].line == 11U);
+}
+
+// Guards against an announcement that is not acknowledged, or one that cannot be read and is.
+BOOST_AUTO_TEST_CASE(announcements_are_acknowledged)
+{
+    struct fixed_timers final : timer_service {
+        time_point now() const override { return {}; }
+        timer_id schedule(duration, std::function<void()>) override { return 1; }
+        void cancel(timer_id) override {}
+    } timers;
+    adapter translator("10.0.0.1:1");
+    upstream_tracker tracker(timers, [](const tracked_upstream&) {});
+    const std::string beat = R"({"info":{"service":"s1","slots":3},"status":{"state":"ready","sequence":1}})";
+    BOOST_TEST(translator.on_announcement({"PUT", "/-/instances/i-1", "h", {}, beat}, tracker).status == 200);
+    BOOST_TEST(tracker.current()->last.instance == "i-1");
+    BOOST_TEST(translator.on_announcement({"PUT", "/-/instances/i-1", "h", {}, "{"}, tracker).status == 400);
+    BOOST_TEST(translator.on_announcement({"PUT", "/other", "h", {}, beat}, tracker).status == 404);
+    BOOST_TEST(translator.on_announcement({"DELETE", "/-/instances/i-1", "h", {}, ""}, tracker).status == 200);
+    BOOST_TEST(tracker.current()->leaving_since.has_value());
+    BOOST_TEST(translator.asks_for_readiness({"GET", "/-/ready", "h", {}, ""}));
+}
+
+} // namespace mulberry::platform
