Test the promises of the entry and of the guard with an announced upstream

Each test names the failure that it guards against: statuses that promise too much, a second run, more arrivals than a route allows, work for an upstream that is not announced, was replaced or leaves.

--- /dev/null
+++ b/tests/auto/plugins/entry/tst_entry.cpp
@@ -0,0 +1,235 @@
+#include "fakes/virtualtimerservice.h"
+#include "libs/base/asyncerror.h"
+#include "plugins/calls/headerpolicy.h"
+#include "plugins/entry/entryservice.h"
+
+#include <deque>
+#include <memory>
+
+#include <boost/test/unit_test.hpp>
+
+namespace mulberry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// One route, "/a/", of the service "orders".
+struct one_route final : policy {
+    std::variant<matched_route, refusal> match(std::string_view, std::string_view path, std::string_view) const override
+    {
+        matched_route matched;
+        matched.service = "orders";
+        matched.path = path;
+        matched.rules = rules;
+        matched.body_cap_bytes = 1000;
+        matched.total_attempts = 4;
+        matched.most_arrivals = 2;
+        return matched;
+    }
+    bool has_service(std::string_view service) const override { return service == "orders"; }
+    std::optional<std::string> organisation_of(std::string_view key) const override
+    {
+        return key == "good" ? std::optional<std::string>("school") : std::nullopt;
+    }
+    bool authorises(std::string_view, std::string_view) const override { return true; }
+    bool keyed_requests_allowed() const override { return fresh; }
+    std::int64_t revision() const override { return 3; }
+
+    route rules;
+    bool fresh = true;
+};
+
+struct no_limit final : rate_limiter {
+    void admit(std::string_view, std::function<void(std::optional<refusal>)> done) override { done(std::nullopt); }
+};
+
+struct no_members final : member_directory {
+    std::span<const member> members() const override { return {}; }
+    std::span<const member> members_of(std::string_view) const override { return {}; }
+    const member* find(std::string_view) const override { return nullptr; }
+    void add_listener(member_listener&) override {}
+    void remove_listener(member_listener&) override {}
+};
+
+struct silent_observer final : request_observer {
+    void on_finished(const decision_record&) override {}
+    void on_retry_decision(refusal_reason, std::optional<retry_refusal>) override {}
+};
+
+/// Answers each attempt with the next entry of a script; beyond its end attempts stay open.
+struct scripted_transport final : call_transport {
+    explicit scripted_transport(timer_service& service) : timers(service) {}
+
+    call_id send(std::string_view node, const call_request& request, call_callback done) override
+    {
+        calls.push_back(request);
+        if (script.empty())
+            return calls.size();
+        call_answer answer = script.front();
+        script.pop_front();
+        answer.receiver = node;
+        answer.sequence = request.attempt.sequence;
+        answer.unused_retries = request.retries;
+        timers.schedule(10ms, [answer, done = std::move(done)] { done(answer); });
+        return calls.size();
+    }
+    void cancel(call_id) override { ++cancelled; }
+
+    timer_service& timers;
+    std::deque<call_answer> script;
+    std::vector<call_request> calls;
+    int cancelled = 0;
+};
+
+call_answer refused(refusal_reason reason, outcome result)
+{
+    call_answer answer;
+    answer.reason = reason;
+    answer.result = result;
+    return answer;
+}
+
+call_answer served(int status = 200)
+{
+    call_answer answer;
+    answer.result = outcome::ran;
+    answer.status = status;
+    return answer;
+}
+
+struct entry_fixture {
+    virtual_timer_service timers;
+    seeded_random_source random{7};
+    one_route documents;
+    no_limit rates;
+    entry_throttle throttle{{}, timers, random};
+    upstream_selector selector{{}, "self", {"quay", "south"}, timers, random};
+    no_members members;
+    scripted_transport transport{timers};
+    silent_observer observer;
+    std::unique_ptr<entry_service> entry;
+    std::optional<caller_answer> answer;
+
+    entry_fixture()
+    {
+        documents.rules.idempotent = true;
+        documents.rules.deadline = 2s;
+        std::vector<upstream_info> upstreams;
+        for (const char* name : {"n1", "n2", "n3", "n4"})
+            upstreams.push_back({name, 1, "orders", {"quay", "south"}, upstream_state::serving, timers.now() - 1h});
+        selector.update(upstreams);
+        entry_settings settings;
+        settings.self = {"self", 1};
+        settings.fields.caller_sets_request_id = true;
+        settings.calling_service = "shop";
+        settings.open_requests_are_nested = true;
+        settings.status_tells_outcome = true;
+        settings.fractional_retry_after = true;
+        entry =
+            std::make_unique<entry_service>(settings, entry_parts{timers, random, random, documents, rates, throttle,
+                                                                  selector, members, transport, observer});
+    }
+
+    int send(header_list headers = {{"Authorization", "Bearer good"}, {"Mulberry-Request-Id", "r-9"}})
+    {
+        answer.reset();
+        caller_request request;
+        request.method = "POST";
+        request.path = "/a/x";
+        request.headers = std::move(headers);
+        entry->handle(std::move(request), [this](caller_answer given) { answer = std::move(given); });
+        timers.advance(3s);
+        return answer ? answer->status : 0;
+    }
+};
+
+} // namespace
+
+// Guards against a status that promises "not run" for a request that may have run, and the other way round.
+BOOST_FIXTURE_TEST_CASE(statuses_keep_their_promise, entry_fixture)
+{
+    documents.rules.idempotent = false;
+    const std::vector<std::pair<call_answer, int>> table{
+        {refused(refusal_reason::upstream_shed, outcome::unknown), 502},
+        {refused(refusal_reason::connection_lost, outcome::unknown), 502},
+        {refused(refusal_reason::deadline_expired, outcome::unknown), 504},
+        {served(500), 500},
+    };
+    for (const auto& [given, status] : table) {
+        transport.script = {given};
+        BOOST_TEST(send() == status);
+    }
+    for (const refusal_reason reason : {refusal_reason::queue_full, refusal_reason::deadline_unreachable}) {
+        transport.script = std::deque<call_answer>(4, refused(reason, outcome::not_run));
+        BOOST_TEST(send() == 503);
+        BOOST_TEST(!find_header(answer->headers, "Retry-After").empty());
+    }
+}
+
+// Guards against a second run of a request that is not idempotent.
+BOOST_FIXTURE_TEST_CASE(only_what_has_not_run_is_repeated, entry_fixture)
+{
+    documents.rules.idempotent = false;
+    transport.script = {refused(refusal_reason::connection_lost, outcome::unknown), served()};
+    BOOST_TEST(send() == 502);
+    BOOST_TEST(transport.calls.size() == 1U);
+    transport.script = {refused(refusal_reason::queue_full, outcome::not_run), served()};
+    BOOST_TEST(send() == 200);
+}
+
+// Guards against more arrivals at upstreams than the route allows; refusals of guards are no arrivals.
+BOOST_FIXTURE_TEST_CASE(arrivals_are_bounded, entry_fixture)
+{
+    transport.script = std::deque<call_answer>(4, refused(refusal_reason::upstream_shed, outcome::not_run));
+    BOOST_TEST(send() == 503);
+    BOOST_TEST(transport.calls.size() == 2U);
+    transport.calls.clear();
+    transport.script = {refused(refusal_reason::queue_full, outcome::not_run),
+                        refused(refusal_reason::upstream_shed, outcome::not_run), served()};
+    BOOST_TEST(send() == 200);
+    BOOST_TEST(transport.calls.size() == 3U);
+}
+
+// Guards against retries that are refused for lack of budget although no upstream got the attempt.
+BOOST_FIXTURE_TEST_CASE(refusals_of_guards_need_no_budget, entry_fixture)
+{
+    retry_budget_settings none;
+    none.capacity = 0;
+    none.floor_per_second = 0;
+    entry->set_retry_budget(none);
+    transport.script = {refused(refusal_reason::queue_full, outcome::not_run), served()};
+    BOOST_TEST(send() == 200);
+    transport.script = {refused(refusal_reason::upstream_shed, outcome::not_run), served()};
+    BOOST_TEST(send() == 503);
+}
+
+// Guards against an answer after the route's timeout, and against work that goes on after it.
+BOOST_FIXTURE_TEST_CASE(the_timeout_ends_a_request, entry_fixture)
+{
+    BOOST_TEST(send() == 504);
+    BOOST_TEST(transport.cancelled == 1);
+}
+
+// Guards against keys that are unknown, missing, or checked under a view that may lack a withdrawal.
+BOOST_FIXTURE_TEST_CASE(keys_are_checked, entry_fixture)
+{
+    BOOST_TEST(send({{"Authorization", "Bearer bad"}}) == 401);
+    BOOST_TEST(send({}) == 401);
+    documents.fresh = false;
+    BOOST_TEST(send() == 503);
+    BOOST_TEST(transport.calls.empty());
+}
+
+// Guards against a call that does not say where it comes from or loses the caller's id.
+BOOST_FIXTURE_TEST_CASE(the_call_names_its_origin, entry_fixture)
+{
+    transport.script = {served()};
+    BOOST_TEST(send() == 200);
+    BOOST_TEST(transport.calls[0].calling_service == "shop");
+    BOOST_TEST(transport.calls[0].request_id == "r-9");
+    BOOST_TEST(find_header(answer->headers, "Mulberry-Request-Id") == "r-9");
+    BOOST_TEST(find_header(transport.calls[0].headers, "Authorization").empty());
+}
+
+} // namespace mulberry
--- a/tests/auto/plugins/guard/tst_guard.cpp
+++ b/tests/auto/plugins/guard/tst_guard.cpp
@@ -253,4 +253,109 @@
     BOOST_TEST(filter.senders() == 1U);
 }
 
+namespace {
+
+/// Answers every request with the same answer.
+struct fixed_upstream final : http_client {
+    http_call_id send(http_request request, http_callback done) override
+    {
+        last = std::move(request);
+        ++requests;
+        done(answer);
+        return 1;
+    }
+    void cancel(http_call_id) override {}
+
+    http_answer answer{200, {}, "ok"};
+    http_request last;
+    int requests = 0;
+};
+
+struct announced_fixture {
+    virtual_timer_service timers;
+    seeded_random_source random{5};
+    fixed_upstream upstream;
+    ignoring_observer observer;
+    guard_service guard{make_settings(), timers, random, upstream, observer};
+    std::uint64_t sequence = 0;
+
+    static guard_settings make_settings()
+    {
+        guard_settings made = guard_fixture::make_settings();
+        made.dynamic_upstream = true;
+        made.upstream_leaving_grace = 1s;
+        made.fields.expected_instance = "Instance";
+        made.fields.not_executed = "Not-Run";
+        made.fields.calling_service = "Caller";
+        made.fields.forwards_host = true;
+        return made;
+    }
+
+    void announce(std::optional<time_point> leaving_since = std::nullopt)
+    {
+        guard.set_upstream({true, "i-1", "orders", 4, leaving_since});
+    }
+
+    call_answer call(std::string service = "orders")
+    {
+        call_request request = guard_fixture::request(++sequence);
+        request.service = std::move(service);
+        request.calling_service = "shop";
+        request.headers = {{"Host", "h.example"}, {"Instance", "forged"}, {"Caller", "forged"}};
+        call_answer given;
+        guard.handle("entry-1", std::move(request), [&](call_answer answer) { given = std::move(answer); });
+        timers.advance(1ms);
+        return given;
+    }
+};
+
+} // namespace
+
+// Guards against work for an upstream that nobody has announced, or of another service at the same address.
+BOOST_FIXTURE_TEST_CASE(only_an_announced_upstream_gets_work, announced_fixture)
+{
+    BOOST_TEST((call().result == outcome::not_run));
+    announce();
+    BOOST_TEST((call().result == outcome::ran));
+    BOOST_TEST((call("stores").result == outcome::not_run));
+    BOOST_TEST(upstream.requests == 1);
+}
+
+// Guards against identities that a caller made up, and against a request for another run of the upstream.
+BOOST_FIXTURE_TEST_CASE(the_upstream_gets_the_identities_of_this_node, announced_fixture)
+{
+    announce();
+    call();
+    BOOST_TEST(find_header(upstream.last.headers, "Instance") == "i-1");
+    BOOST_TEST(find_header(upstream.last.headers, "Caller") == "shop");
+    BOOST_TEST(find_header(upstream.last.headers, "Host") == "h.example");
+}
+
+// Guards against a refusal of the upstream that counts as a run, and against further requests to its successor.
+BOOST_FIXTURE_TEST_CASE(refusals_of_the_upstream_have_not_run, announced_fixture)
+{
+    announce();
+    upstream.answer = {503, {{"Not-Run", "1"}}, ""};
+    BOOST_TEST((call().result == outcome::not_run));
+    upstream.answer = {503, {}, ""};
+    BOOST_TEST((call().result == outcome::ran));
+    upstream.answer = {421, {}, ""};
+    BOOST_TEST((call().result == outcome::not_run));
+    BOOST_TEST((call().result == outcome::not_run));
+    BOOST_TEST(upstream.requests == 3);
+    announce();
+    upstream.answer = {200, {}, "ok"};
+    BOOST_TEST((call().result == outcome::ran));
+}
+
+// Guards against new work for an upstream later than its leaving allows.
+BOOST_FIXTURE_TEST_CASE(a_leaving_upstream_gets_no_work_after_the_grace, announced_fixture)
+{
+    announce(timers.now());
+    BOOST_TEST((call().result == outcome::ran));
+    timers.advance(1s);
+    BOOST_TEST((call().result == outcome::not_run));
+    BOOST_TEST(upstream.requests == 1);
+}
+
 } // namespace mulberry
