Clear the findings of the linter in the new files

Braces around statements of two lines; a plain handshake ends when the socket is writable instead of by a posted task.

--- a/src/libs/peer/plainsecurity.cpp
+++ b/src/libs/peer/plainsecurity.cpp
@@ -1,6 +1,5 @@
 #include "libs/peer/plainsecurity.h"
 
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 namespace mulberry {
@@ -15,7 +14,7 @@
 
     void handshake(handshake_handler done) override
     {
-        boost::asio::post(m_socket.get_executor(), [done = std::move(done)] { done({}); });
+        m_socket.async_wait(boost::asio::ip::tcp::socket::wait_write, std::move(done));
     }
 
     void read_some(boost::asio::mutable_buffer buffer, transfer_handler done) override
--- a/src/libs/peer/tlssecurity.cpp
+++ b/src/libs/peer/tlssecurity.cpp
@@ -57,9 +57,10 @@
 
     std::unique_ptr<peer_stream> make_stream(tcp::socket socket, role side) override
     {
-        if (side == role::client)
+        if (side == role::client) {
             return std::make_unique<tls_stream>(std::move(socket), m_identity.client_context(),
                                                 ssl::stream_base::client);
+        }
         return std::make_unique<tls_stream>(std::move(socket), m_identity.server_context(), ssl::stream_base::server);
     }
 
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -330,7 +330,9 @@
     call.attempt = {m_settings.self, request.sequence};
     call.request_id = request.request_id;
     call.organisation = request.organisation;
-    call.calling_service = request.parent != nullptr ? request.parent->service : m_settings.calling_service;
+    call.calling_service = m_settings.calling_service;
+    if (const call_context* parent = request.parent.get())
+        call.calling_service = parent->service;
     call.service = request.service;
     call.route = request.matched.name;
     call.level = request.level;
--- a/src/plugins/quota/quotaservice.cpp
+++ b/src/plugins/quota/quotaservice.cpp
@@ -75,9 +75,10 @@
             ask(limit->first, subject);
         return;
     }
-    if (!hears_keeper())
-        return done(subject.take_share(now, m_members.members().size()) ? std::nullopt
-                                                                        : std::optional(over_rate(subject)));
+    if (!hears_keeper()) {
+        const bool admitted = subject.take_share(now, m_members.members().size());
+        return done(admitted ? std::nullopt : std::optional(over_rate(subject)));
+    }
     if (subject.is_dry(now))
         return done(over_rate(subject));
     subject.waiters.push_back({now, std::move(done)});
