--- a/tests/auto/platform/tst_kvstore.cpp
+++ b/tests/auto/platform/tst_kvstore.cpp
@@ -76,10 +76,11 @@
     {
         std::string outcome = "none";
         store.put_if("k", 3, "v", 0, [&](leaf::result<put_result> result) {
-            if (!result)
-                outcome = to_string(error_of(std::move(result), store_error::bad_answer));
-            else
+            if (result) {
                 outcome = result->applied ? "applied" : "conflict";
+                return;
+            }
+            outcome = to_string(error_of(std::move(result), store_error::bad_answer));
         });
         timers.advance(5s);
         return outcome;
--- a/tests/auto/plugins/quota/tst_quota.cpp
+++ b/tests/auto/plugins/quota/tst_quota.cpp
@@ -91,10 +91,11 @@
             auto it = nodes.begin();
             std::advance(it, static_cast<std::ptrdiff_t>(random.uniform(nodes.size())));
             it->second->admit("school", [this](std::optional<refusal> why) {
-                if (why)
+                if (why) {
                     ++refused;
-                else
-                    admitted.push_back(timers.now());
+                    return;
+                }
+                admitted.push_back(timers.now());
             });
             timers.advance(from_seconds(-std::log(1 - random.unit()) / per_second));
         }
