--- a/src/plugins/registry/storeregistry.cpp
+++ b/src/plugins/registry/storeregistry.cpp
@@ -66,8 +66,9 @@
 
 std::span<const member> store_registry::members_of(std::string_view service) const
 {
-    const auto range = std::ranges::equal_range(m_members, service, {}, &member::service);
-    return {range.begin(), range.end()};
+    const auto first = std::ranges::lower_bound(m_members, service, {}, &member::service);
+    const auto last = std::ranges::upper_bound(m_members, service, {}, &member::service);
+    return {first, last};
 }
 
 const member* store_registry::find(std::string_view name) const
@@ -143,9 +144,10 @@
         return;
     }
     const auto known = m_nodes.find(node_name);
-    if (known == m_nodes.end() || known->second.node != *decoded)
+    if (known == m_nodes.end() || known->second.node != *decoded) {
         log_info(log_part, "Node {} of {} is {} (incarnation {}, revision {}).", node_name, decoded->service,
                  to_string(decoded->state), decoded->id.incarnation, entry.mod_revision);
+    }
     m_nodes[std::string(node_name)] = {std::move(*decoded), std::nullopt};
 }
 
