Work out a new bucket's tokens in one place

The keeper computed the start level of a bucket twice, and kept the time of its own start, which nothing read. Both go; behaviour stays.

Result: tst_quota passes, formatter and linter are clean on the file.

--- a/src/plugins/quota/quotakeeper.cpp
+++ b/src/plugins/quota/quotakeeper.cpp
@@ -13,19 +13,23 @@
         bucket subject;
         subject.limit = limit;
         subject.updated = m_timers.now();
-        subject.level = known == m_buckets.end() ? limit.rate * m_settings.start_seconds : known->second.level;
+        subject.level = known == m_buckets.end() ? start_level(limit) : known->second.level;
         subject.level = std::min(subject.level, std::max(limit.burst, 1.0));
         next.emplace(name, std::move(subject));
     }
     m_buckets = std::move(next);
 }
 
+double quota_keeper::start_level(const quota_limit& limit) const
+{
+    return std::min(limit.rate * m_settings.start_seconds, std::max(limit.burst, 1.0));
+}
+
 void quota_keeper::restart()
 {
-    m_started = m_timers.now();
     m_heard.clear();
     for (auto& [name, subject] : m_buckets) {
-        subject.level = std::min(subject.limit.rate * m_settings.start_seconds, std::max(subject.limit.burst, 1.0));
+        subject.level = start_level(subject.limit);
         subject.updated = m_timers.now();
     }
 }
--- a/src/plugins/quota/quotakeeper.h
+++ b/src/plugins/quota/quotakeeper.h
@@ -34,12 +34,13 @@
     /// Part of the rates that nodes out of touch may be using on their own.
     double held_back(std::size_t nodes);
     void refill(bucket& subject, double held);
+    /// Tokens of a bucket of which nothing is known.
+    double start_level(const quota_limit& limit) const;
 
     quota_settings m_settings;
     const timer_service& m_timers;
     std::map<std::string, bucket, std::less<>> m_buckets;
     std::map<std::string, time_point> m_heard;
-    time_point m_started;
 };
 
 } // namespace mulberry
