Give new upstreams their share and keep calls in a domain with room

Cause: an upstream without answers has no known concurrency limit and was compared as if it took one call at a time. The second fault: an upstream of another failure domain won as soon as one more call happened to be in flight in the own one, whatever room it had.

Ruled out: the ramp of cold upstreams (it lets a tenth of the calls through) and the typical latency (equal latencies show the fault as well).

Change: the limit that the member announces counts until the first answer; without one, the mean limit of the service does. The own domain gets all calls while it reports less than 70% of its slots in use and answers in less than twice the time of the other domain.

--- a/src/app/memberupstreams/memberupstreams.cpp
+++ b/src/app/memberupstreams/memberupstreams.cpp
@@ -33,8 +33,8 @@
         if (serving)
             present.insert(run);
         const time_point since = serving ? m_serving_since.try_emplace(run, now).first->second : now;
-        upstreams.push_back(
-            {entry.id.name, entry.id.incarnation, entry.service, entry.location, state_of(entry.state), since});
+        upstreams.push_back({entry.id.name, entry.id.incarnation, entry.service, entry.location, state_of(entry.state),
+                             since, entry.slots});
     }
     std::erase_if(m_serving_since, [&](const auto& entry) { return !present.contains(entry.first); });
     return upstreams;
--- a/src/plugins/routing/upstreamobservation.cpp
+++ b/src/plugins/routing/upstreamobservation.cpp
@@ -26,14 +26,15 @@
         m_last_progress = now;
 }
 
-void upstream_observation::on_answer(time_point now, duration latency, std::uint32_t concurrency_limit)
+void upstream_observation::on_answer(time_point now, duration latency, const load_report& report)
 {
     finish(now);
     note_refusal(now, 0);
     m_latency_sum += static_cast<double>(latency.count());
     m_latency_weight += 1;
     m_last_answer = now;
-    m_limit = concurrency_limit;
+    m_limit = report.concurrency_limit;
+    m_utilisation = static_cast<double>(report.utilisation);
     m_failures = 0;
     m_ejections = 0;
 }
@@ -92,11 +93,22 @@
     return duration{std::llround(latency + m_refused_share * factor * refusal_cost_us)};
 }
 
-double upstream_observation::cost(time_point now, duration typical) const
+double upstream_observation::cost(time_point now, const typical_upstream& typical) const
 {
-    const double capacity = m_limit == 0 ? 1 : m_limit;
+    const double capacity = std::max(m_limit == 0 ? typical.concurrency_limit : m_limit, 1.0);
     // 1 us keeps the calls in flight in the comparison while no latency is known.
-    return (static_cast<double>(expected_latency(now, typical).count()) + 1) * (m_in_flight + 1) / capacity;
+    return (static_cast<double>(expected_latency(now, typical.latency).count()) + 1) * (m_in_flight + 1) / capacity;
+}
+
+void upstream_observation::announce_limit(std::uint32_t concurrency_limit)
+{
+    if (m_limit == 0)
+        m_limit = concurrency_limit;
+}
+
+double upstream_observation::utilisation(time_point now) const
+{
+    return answers(now) ? m_utilisation : 0;
 }
 
 bool upstream_observation::answers(time_point now) const
--- a/src/plugins/routing/upstreamselector.cpp
+++ b/src/plugins/routing/upstreamselector.cpp
@@ -24,7 +24,11 @@
 constexpr double spill_per_gain = 2;
 /// The typical latency of a service must lag behind the observations of one upstream that has become slow.
 constexpr double typical_time_constant_s = 10;
-/// How many times the load of an upstream of another failure domain that of the own one is before calls go there.
+/// An upstream of the own failure domain gets all calls while it uses less than this part of its slots and answers in
+/// less than this many times the time of another domain's: bytes between domains are billed.
+constexpr double domain_utilisation = 0.7;
+constexpr double domain_latency_ratio = 2;
+/// Beyond that, how many times the load of an upstream of another domain that of the own one is before calls go there.
 constexpr double domain_preference = 1.25;
 
 } // namespace
@@ -65,15 +69,16 @@
         time_point typical_updated;
     };
 
-    bool is_less_loaded(const upstream_map::value_type& far, const upstream_map::value_type& near, duration typical);
+    bool is_less_loaded(const upstream_map::value_type& far, const upstream_map::value_type& near,
+                        const detail::typical_upstream& typical);
     bool is_worth(duration near, duration far, duration gain);
-    duration typical_latency(std::string_view service) const;
+    detail::typical_upstream typical(std::string_view service) const;
     void note_typical(service_view& view, duration latency);
     void set_link_rate(std::span<const upstream_info> upstreams);
     candidate_list usable(std::string_view service, const routing_context& context);
     void leave_out_ejected(candidate_list& candidates) const;
     void leave_out_ramping(candidate_list& candidates);
-    candidate better_of_two(std::span<const candidate> tier, duration typical);
+    candidate better_of_two(std::span<const candidate> tier, const detail::typical_upstream& typical);
     bool is_ejectable(const upstream& subject) const;
     upstream* find(std::string_view name);
 
@@ -102,6 +107,7 @@
         entry.service = info.service;
         entry.away = detail::distance_between(m_own_location, info.location);
         entry.serving_since = info.serving_since;
+        entry.observed.announce_limit(info.concurrency_limit);
         if (info.state == upstream_state::serving)
             candidates[info.service].push_back({info.name, entry.away});
         next.insert_or_assign(info.name, std::move(entry));
@@ -131,7 +137,7 @@
                                                                      const routing_context& context)
 {
     const time_point now = m_timers.now();
-    const duration typical = typical_latency(service);
+    const detail::typical_upstream typical = this->typical(service);
     const candidate_list candidates = usable(service, context);
     const std::array gains{duration{0}, m_settings.domain_gain, m_settings.region_gain};
     candidate best = nullptr;
@@ -146,7 +152,7 @@
         if (tier.empty())
             continue;
         const candidate chosen = better_of_two(tier, typical);
-        const duration latency = chosen->second.observed.expected_latency(now, typical);
+        const duration latency = chosen->second.observed.expected_latency(now, typical.latency);
         const duration gain = gains[static_cast<std::size_t>(away)];
         const bool is_better = away == detail::distance::same_region
                                    ? best != nullptr && is_less_loaded(*chosen, *best, typical)
@@ -162,11 +168,17 @@
 }
 
 bool upstream_selector::implementation::is_less_loaded(const upstream_map::value_type& far,
-                                                       const upstream_map::value_type& near, duration typical)
+                                                       const upstream_map::value_type& near,
+                                                       const detail::typical_upstream& typical)
 {
     const time_point now = m_timers.now();
-    return far.second.observed.cost(now, typical + m_settings.domain_gain) * domain_preference <
-           near.second.observed.cost(now, typical);
+    const duration near_latency = near.second.observed.expected_latency(now, typical.latency);
+    const duration far_latency = far.second.observed.expected_latency(now, typical.latency) + m_settings.domain_gain;
+    if (near.second.observed.utilisation(now) < domain_utilisation &&
+        to_seconds(near_latency) < to_seconds(far_latency) * domain_latency_ratio)
+        return false;
+    const detail::typical_upstream typical_far{typical.latency + m_settings.domain_gain, typical.concurrency_limit};
+    return far.second.observed.cost(now, typical_far) * domain_preference < near.second.observed.cost(now, typical);
 }
 
 bool upstream_selector::implementation::is_worth(duration near, duration far, duration gain)
@@ -175,10 +187,19 @@
     return excess > 0 && m_random.unit() < spill_per_gain * excess / to_seconds(near);
 }
 
-duration upstream_selector::implementation::typical_latency(std::string_view service) const
+detail::typical_upstream upstream_selector::implementation::typical(std::string_view service) const
 {
     const auto it = m_services.find(service);
-    return it == m_services.end() ? duration{0} : duration{static_cast<std::int64_t>(it->second.typical_us)};
+    if (it == m_services.end())
+        return {};
+    double sum = 0;
+    double known = 0;
+    for (const candidate each : it->second.subset) {
+        const std::uint32_t limit = each->second.observed.concurrency_limit();
+        sum += limit;
+        known += limit > 0 ? 1 : 0;
+    }
+    return {duration{static_cast<std::int64_t>(it->second.typical_us)}, known > 0 ? sum / known : 0};
 }
 
 upstream_selector::implementation::candidate_list
@@ -221,7 +242,8 @@
 }
 
 upstream_selector::implementation::candidate
-upstream_selector::implementation::better_of_two(std::span<const candidate> tier, duration typical)
+upstream_selector::implementation::better_of_two(std::span<const candidate> tier,
+                                                 const detail::typical_upstream& typical)
 {
     const std::size_t first = m_random.uniform(tier.size());
     if (tier.size() == 1)
@@ -249,7 +271,7 @@
     upstream* subject = find(name);
     if (subject == nullptr)
         return;
-    subject->observed.on_answer(m_timers.now(), latency, report.concurrency_limit);
+    subject->observed.on_answer(m_timers.now(), latency, report);
     note_typical(m_services[subject->service], latency);
     if (subject->away == detail::distance::other_region)
         m_budget.take(answer_bytes);
--- a/src/plugins/routing/upstreamselector.h
+++ b/src/plugins/routing/upstreamselector.h
@@ -26,6 +26,8 @@
     upstream_state state = upstream_state::serving;
     /// When it began to serve, on the local monotonic clock.
     time_point serving_since;
+    /// Calls that it is said to take at once; counts until an answer carries its limit. 0 if not known.
+    std::uint32_t concurrency_limit = 0;
 };
 
 struct routing_settings {
--- a/tests/auto/plugins/routing/tst_routing.cpp
+++ b/tests/auto/plugins/routing/tst_routing.cpp
@@ -38,7 +38,7 @@
     }
     /// Lets every choice end at once with the upstream's latency; a missing one fails.
     std::map<std::string, int> use(int calls, const std::map<std::string, duration>& latencies,
-                                   std::uint64_t bytes = 100)
+                                   std::uint64_t bytes = 100, const load_report& report = {})
     {
         std::map<std::string, int> chosen;
         for (int call = 0; call < calls; ++call) {
@@ -49,7 +49,7 @@
                 continue;
             selector.on_sent(name, bytes);
             if (const auto it = latencies.find(name); it != latencies.end()) {
-                selector.on_answer(name, it->second, {}, bytes);
+                selector.on_answer(name, it->second, report, bytes);
             }
             else {
                 selector.on_failed(name);
@@ -109,6 +109,25 @@
     BOOST_TEST(slow.at("b") > 1'000);
 }
 
+// Guards against calls that leave the failure domain because a few more of them happen to be in flight in it.
+BOOST_AUTO_TEST_CASE(calls_in_flight_do_not_leave_a_domain_with_room)
+{
+    fixture test({info("a", here), info("b", near)});
+    load_report report;
+    report.concurrency_limit = 100;
+    report.utilisation = 0.3F;
+    test.use(50, {{"a", normal_latency}, {"b", normal_latency}}, 100, report);
+    for (int call = 0; call < 20; ++call) {
+        test.timers.advance(duration{1'000});
+        BOOST_TEST(test.choose() == "a");
+        test.selector.on_sent("a", 100);
+    }
+    // Used to the full, the near one shares its load.
+    report.utilisation = 1;
+    test.selector.on_answer("a", normal_latency, report, 100);
+    BOOST_TEST(test.choose() == "b");
+}
+
 // The link to the other region is narrow and billed by volume.
 BOOST_AUTO_TEST_CASE(uses_the_other_region_for_a_large_gain_within_the_byte_budget)
 {
@@ -170,6 +189,40 @@
     BOOST_TEST(late.at("cold") > 400);
 }
 
+// An upstream without answers, and so without a known limit, was compared as if it took one call at a time: beside
+// others with a limit of 30 it never got a first call.
+BOOST_AUTO_TEST_CASE(newcomer_gets_its_share_beside_upstreams_with_a_limit)
+{
+    std::vector<upstream_info> infos{info("a", here), info("b", here)};
+    fixture test(infos);
+    load_report report;
+    report.concurrency_limit = 30;
+    const std::map<std::string, duration> equal{{"a", normal_latency}, {"b", normal_latency}, {"c", normal_latency}};
+    test.use(500, equal, 100, report);
+    infos.push_back(info("c", here));
+    test.selector.update(infos);
+    auto chosen = test.use(300, equal, 100, report);
+    for (const char* name : {"a", "b", "c"})
+        BOOST_TEST(chosen[name] > 50);
+}
+
+// The members say how many calls an upstream takes at once, before its first answer does.
+BOOST_AUTO_TEST_CASE(announced_limit_counts_until_the_first_answer)
+{
+    std::vector<upstream_info> infos{info("small", here), info("large", here)};
+    infos[0].concurrency_limit = 2;
+    infos[1].concurrency_limit = 20;
+    fixture test(infos);
+    std::map<std::string, int> chosen;
+    for (int call = 0; call < 110; ++call) {
+        const std::string name = test.choose();
+        ++chosen[name];
+        test.selector.on_sent(name, 100);
+    }
+    BOOST_TEST(chosen["small"] >= 8);
+    BOOST_TEST(chosen["small"] <= 12);
+}
+
 // A restarted upstream must not inherit the failures of its predecessor.
 BOOST_AUTO_TEST_CASE(new_incarnation_starts_without_observations)
 {
