Refuse requests at the entry for a bottleneck further down

Ruled out: longer waits and the load reports of nested calls as they are (earlier trials): importances of calls and of callers' requests don't compare, so that the entries refused too much.

Change: each node keeps the part of its upstream's calls that found no room, by service, and its answers carry it towards the entries. The entry refuses a growing part of the demand that leads to such a service, the least important first: by the importance of the request, then of its route. Demand is what is within the rates. A route whose requests fail far less often than the calls are refused does not lead there and is left alone.

--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -100,6 +100,9 @@
     guard.leaving_grace = guard_leaving_grace;
     // A call takes longer while the calls that it makes wait, which says nothing about this upstream.
     guard.admission.learn_limit = false;
+    m_downstream = std::make_unique<downstream_monitor>(m_timers);
+    m_bottlenecks = std::make_unique<bottleneck_throttle>(bottleneck_throttle_settings{}, m_timers, environment.random);
+    guard.downstream_report = [this] { return m_downstream->report(); };
     m_guard = std::make_unique<guard_service>(std::move(guard), m_timers, environment.secure_random,
                                               environment.upstream, environment.observer);
     m_transport = std::make_unique<local_transport>(m_self.name, m_timers, *m_guard, environment.network);
@@ -112,7 +115,8 @@
     entry.fractional_retry_after = true;
     m_entry = std::make_unique<entry_service>(
         std::move(entry), entry_parts{m_timers, environment.random, environment.secure_random, m_policy, *m_quotas,
-                                      *m_throttle, *m_selector, *m_registry, *m_transport, environment.observer});
+                                      *m_throttle, *m_selector, *m_registry, *m_transport, environment.observer,
+                                      m_downstream.get(), m_bottlenecks.get()});
     m_drain_adapter = std::make_unique<drain_adapter>(*this);
     const std::array<drain_participant*, 1> participants{m_drain_adapter.get()};
     const drain_settings drain{stop_settle_time, m_settings.stop_limit - stop_margin};
--- a/src/app/sidecar/sidecarnode.h
+++ b/src/app/sidecar/sidecarnode.h
@@ -77,6 +77,8 @@
     std::unique_ptr<store_registry> m_registry;
     std::unique_ptr<quota_service> m_quotas;
     std::unique_ptr<entry_throttle> m_throttle;
+    std::unique_ptr<downstream_monitor> m_downstream;
+    std::unique_ptr<bottleneck_throttle> m_bottlenecks;
     std::unique_ptr<upstream_selector> m_selector;
     std::unique_ptr<guard_service> m_guard;
     std::unique_ptr<local_transport> m_transport;
--- a/src/app/transport/peertransport.cpp
+++ b/src/app/transport/peertransport.cpp
@@ -13,6 +13,14 @@
     return certainly_not_processed(error) ? call_error::not_sent : call_error::connection_lost;
 }
 
+leaf::result<call_answer> answer_of(leaf::result<std::string> result)
+{
+    if (result)
+        return decode_call_answer(*result);
+    const peer_error error = error_of(std::move(result), peer_error::connection_lost);
+    return captured_error<call_answer>(call_error_of(error));
+}
+
 } // namespace
 
 peer_transport::peer_transport(timer_service& timers, peer_caller& peers, const address_lookup& addresses)
@@ -30,12 +38,8 @@
         return id;
     }
     m_calls[id].peer_call =
-        m_peers.call(node_name, *address, call_path, encode(request), [this, id](leaf::result<std::string> result) {
-            if (result)
-                return finish(id, decode_call_answer(*result));
-            const peer_error error = error_of(std::move(result), peer_error::connection_lost);
-            finish(id, captured_error<call_answer>(call_error_of(error)));
-        });
+        m_peers.call(node_name, *address, call_path, encode(request),
+                     [this, id](leaf::result<std::string> result) { finish(id, answer_of(std::move(result))); });
     return id;
 }
 
--- a/src/plugins/calls/callanswer.h
+++ b/src/plugins/calls/callanswer.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "libs/base/refusal.h"
+#include "plugins/admission/downstreamload.h"
 #include "plugins/admission/loadreport.h"
 #include "plugins/calls/callrequest.h"
 
 #include <optional>
+#include <vector>
 
 namespace mulberry {
 
@@ -30,6 +32,8 @@
     /// The answer was kept from an earlier run under the same idempotency key.
     bool replayed = false;
     load_report load;
+    /// Services further down the call graph that lack room.
+    std::vector<downstream_load> downstream{};
     duration queue_wait{0};
     duration service_time{0};
 
--- a/src/plugins/calls/callcodec.cpp
+++ b/src/plugins/calls/callcodec.cpp
@@ -66,6 +66,11 @@
            !message.method().empty() && !has_line_break(message.method());
 }
 
+bool is_valid_downstream(const calls::proto::downstream_load& message)
+{
+    return !message.service().empty() && is_share(message.refused_share());
+}
+
 bool is_valid(const calls::proto::call_answer& message)
 {
     const bool has_reason = message.reason() > 0;
@@ -76,7 +81,9 @@
     return known_result && known_reason && (has_reason || has_status) && is_interval(message.retry_after_us()) &&
            is_interval(message.queue_wait_us()) && is_interval(message.service_time_us()) &&
            is_interval(load.queue_delay_us()) && load.threshold() < all_importances.size() &&
-           is_share(load.admitted_share()) && load.utilisation() >= 0 && message.unused_retries() <= most_retries;
+           is_share(load.admitted_share()) && load.utilisation() >= 0 && message.unused_retries() <= most_retries &&
+           static_cast<std::size_t>(message.downstream_size()) <= most_downstream_loads &&
+           std::ranges::all_of(message.downstream(), is_valid_downstream);
 }
 
 void write_load(const load_report& load, calls::proto::load_report* message)
@@ -163,6 +170,11 @@
     write_load(answer.load, message.mutable_load());
     message.set_queue_wait_us(answer.queue_wait.count());
     message.set_service_time_us(answer.service_time.count());
+    for (const downstream_load& load : answer.downstream) {
+        auto* entry = message.add_downstream();
+        entry->set_service(load.service);
+        entry->set_refused_share(load.refused_share);
+    }
     return message.SerializeAsString();
 }
 
@@ -216,6 +228,8 @@
     answer.load = read_load(message.load());
     answer.queue_wait = duration{message.queue_wait_us()};
     answer.service_time = duration{message.service_time_us()};
+    for (const auto& entry : message.downstream())
+        answer.downstream.push_back({entry.service(), entry.refused_share()});
     if (!are_safe(answer.headers))
         return captured_error<call_answer>(call_error::malformed);
     return answer;
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -53,6 +53,14 @@
     return failure.result != outcome::not_run || failure.reason == refusal_reason::upstream_shed;
 }
 
+/// Whether a guard refused because its upstream is used to the full. What an upstream sheds by itself does not count:
+/// admitting less would not change that.
+bool lacks_room(refusal_reason reason)
+{
+    return reason == refusal_reason::queue_full || reason == refusal_reason::queue_delay ||
+           reason == refusal_reason::importance_shed || reason == refusal_reason::deadline_unreachable;
+}
+
 /// Statuses by which a caller may conclude that its request has not run.
 bool promises_not_run(int status)
 {
@@ -156,9 +164,8 @@
         refused = authenticate(*request);
     if (!refused)
         refused = check_idempotency_key(*request);
-    // Refusing a nested call would waste the work that its parent has done already.
-    if (!refused && request->parent == nullptr && !is_upstream_call(*request))
-        refused = m_parts.throttle.check(request->service, request->level, request->organisation);
+    if (!refused)
+        refused = check_load(*request);
     if (refused) {
         refuse(*request, *refused);
         return 0;
@@ -169,6 +176,27 @@
     return request->finished ? 0 : request->handle;
 }
 
+std::optional<refusal> entry_service::check_load(const pending& request)
+{
+    // Refusing a nested call would waste the work that its parent has done already.
+    if (request.parent != nullptr || is_upstream_call(request))
+        return std::nullopt;
+    return m_parts.throttle.check(request.service, request.level, request.organisation);
+}
+
+std::string entry_service::bottleneck_route(const pending& request)
+{
+    return fmt::format("{}/{}", request.service, request.matched.name);
+}
+
+/// Called for requests within the rate of their organisation only: what is beyond it is no demand on the bottleneck.
+std::optional<refusal> entry_service::check_bottlenecks(const pending& request)
+{
+    if (m_parts.bottlenecks == nullptr || request.parent != nullptr || is_upstream_call(request))
+        return std::nullopt;
+    return m_parts.bottlenecks->check(bottleneck_route(request), {request.level, request.matched.level});
+}
+
 std::string entry_service::request_id_of(const pending& request) const
 {
     if (request.parent != nullptr)
@@ -277,16 +305,23 @@
 void entry_service::take_token(const pending_ptr& request)
 {
     if (request->parent != nullptr || request->matched.open)
-        return attempt(request);
+        return first_attempt(request);
     m_parts.rates.admit(request->organisation, [this, request](const std::optional<refusal>& refused) {
         if (request->finished)
             return;
         if (refused)
             return refuse(*request, *refused);
-        attempt(request);
+        first_attempt(request);
     });
 }
 
+void entry_service::first_attempt(const pending_ptr& request)
+{
+    if (const auto refused = check_bottlenecks(*request))
+        return refuse(*request, *refused);
+    attempt(request);
+}
+
 std::optional<std::string> entry_service::choose(const pending& request)
 {
     if (request.once_key)
@@ -392,12 +427,27 @@
         m_parts.selector.on_failed(request.upstream);
     }
     m_parts.throttle.observe(request.service, request.upstream, request.organisation, answer.load);
+    learn_downstream(request, answer);
     if (request.parent == nullptr)
         return;
     std::optional<load_report>& below = request.parent->load_below;
     below = below ? stricter(*below, answer.load) : answer.load;
 }
 
+void entry_service::learn_downstream(const pending& request, const call_answer& answer)
+{
+    if (answer.result != outcome::ran)
+        return;
+    if (is_upstream_call(request)) {
+        if (m_parts.downstream != nullptr)
+            m_parts.downstream->on_answered(request.service, answer.downstream);
+        return;
+    }
+    constexpr int first_server_error = 500;
+    if (m_parts.bottlenecks != nullptr)
+        m_parts.bottlenecks->observe(bottleneck_route(request), answer.status >= first_server_error, answer.downstream);
+}
+
 void entry_service::accept_answer(const pending_ptr& request, call_answer answer)
 {
     request->allowance.give_back(request->loan.id, answer.unused_retries);
@@ -553,6 +603,8 @@
 {
     if (request.may_have_run)
         why.result = outcome::unknown;
+    if (m_parts.downstream != nullptr && is_upstream_call(request) && lacks_room(why.reason))
+        m_parts.downstream->on_refused(request.service);
     caller_answer answer;
     answer.status = status_of(why);
     answer.headers.emplace_back("Content-Type", problem_content_type);
--- a/src/plugins/entry/entryservice.h
+++ b/src/plugins/entry/entryservice.h
@@ -11,6 +11,8 @@
 #include "plugins/membership/memberdirectory.h"
 #include "plugins/retry/retrypolicy.h"
 #include "plugins/routing/upstreamselector.h"
+#include "plugins/throttle/bottleneckthrottle.h"
+#include "plugins/throttle/downstreammonitor.h"
 #include "plugins/throttle/entrythrottle.h"
 
 #include <functional>
@@ -71,6 +73,10 @@
     const member_directory& members;
     call_transport& transport;
     request_observer& observer;
+    /// Where nested calls carry no context, what they meet is kept here and reported to the entries. May be null, then
+    /// requests aren't refused for a bottleneck further down.
+    downstream_monitor* downstream = nullptr;
+    bottleneck_throttle* bottlenecks = nullptr;
 };
 
 using entry_handle = std::uint64_t;
@@ -108,11 +114,16 @@
     entry_handle start(const pending_ptr& request);
     std::string request_id_of(const pending& request) const;
     std::optional<refusal> match(pending& request);
+    std::optional<refusal> check_load(const pending& request);
+    std::optional<refusal> check_bottlenecks(const pending& request);
+    static std::string bottleneck_route(const pending& request);
+    void learn_downstream(const pending& request, const call_answer& answer);
     bool is_upstream_call(const pending& request) const;
     std::optional<refusal> authenticate(pending& request);
     std::optional<refusal> check_idempotency_key(pending& request);
     std::optional<refusal> reauthorise(const pending& request) const;
     void take_token(const pending_ptr& request);
+    void first_attempt(const pending_ptr& request);
     void attempt(const pending_ptr& request);
     std::optional<std::string> choose(const pending& request);
     call_request make_call(pending& request);
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -330,6 +330,8 @@
         if (entry.context->load_below)
             answer.load = stricter(answer.load, *entry.context->load_below);
     }
+    if (entry.running && m_settings.downstream_report)
+        answer.downstream = m_settings.downstream_report();
     note(entry, answer);
     if (!entry.sender_gone)
         entry.done(std::move(answer));
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -32,6 +32,8 @@
     /// After the upstream has said that it leaves, calls are still handed over for this time.
     duration upstream_leaving_grace{std::chrono::seconds(1)};
     field_names fields;
+    /// What answers report of the services that the upstream calls; empty to report nothing.
+    std::function<std::vector<downstream_load>()> downstream_report;
 };
 
 /// The upstream beside this node as it announced itself.
--- a/tests/auto/plugins/calls/tst_calls.cpp
+++ b/tests/auto/plugins/calls/tst_calls.cpp
@@ -42,6 +42,7 @@
     answer.body = "ticket";
     answer.load.threshold = importance::normal;
     answer.load.admitted_share = 0.5F;
+    answer.downstream = {{"workbench", 0.25F}};
     return answer;
 }
 
@@ -74,6 +75,7 @@
     BOOST_REQUIRE(read);
     BOOST_TEST((read->reason == answer.reason));
     BOOST_TEST((read->load == answer.load));
+    BOOST_TEST((read->downstream == answer.downstream));
 }
 
 // Guards against values that a faulty or hostile peer could smuggle into the program.
--- a/tests/auto/plugins/entry/tst_entry.cpp
+++ b/tests/auto/plugins/entry/tst_entry.cpp
@@ -41,7 +41,12 @@
 };
 
 struct no_limit final : rate_limiter {
-    void admit(std::string_view, std::function<void(std::optional<refusal>)> done) override { done(std::nullopt); }
+    void admit(std::string_view, std::function<void(std::optional<refusal>)> done) override
+    {
+        done(refused ? std::optional(not_run(refusal_reason::rate_exceeded)) : std::nullopt);
+    }
+
+    bool refused = false;
 };
 
 struct no_members final : member_directory {
@@ -104,6 +109,8 @@
     one_route documents;
     no_limit rates;
     entry_throttle throttle{{}, timers, random};
+    downstream_monitor downstream{timers};
+    bottleneck_throttle bottlenecks{{}, timers, random};
     upstream_selector selector{{}, "self", {"quay", "south"}, timers, random};
     no_members members;
     scripted_transport transport{timers};
@@ -126,12 +133,13 @@
         settings.open_requests_are_nested = true;
         settings.status_tells_outcome = true;
         settings.fractional_retry_after = true;
-        entry =
-            std::make_unique<entry_service>(settings, entry_parts{timers, random, random, documents, rates, throttle,
-                                                                  selector, members, transport, observer});
+        entry = std::make_unique<entry_service>(settings, entry_parts{timers, random, random, documents, rates,
+                                                                      throttle, selector, members, transport, observer,
+                                                                      &downstream, &bottlenecks});
     }
 
-    int send(header_list headers = {{"Authorization", "Bearer good"}, {"Mulberry-Request-Id", "r-9"}})
+    int send(header_list headers = {{"Authorization", "Bearer good"}, {"Mulberry-Request-Id", "r-9"}},
+             duration time = 3s)
     {
         answer.reset();
         caller_request request;
@@ -139,7 +147,7 @@
         request.path = "/a/x";
         request.headers = std::move(headers);
         entry->handle(std::move(request), [this](caller_answer given) { answer = std::move(given); });
-        timers.advance(3s);
+        timers.advance(time);
         return answer ? answer->status : 0;
     }
 };
@@ -191,6 +199,52 @@
     BOOST_TEST(transport.calls.size() == 3U);
 }
 
+// Guards against entries that admit requests whose calls are then refused deep in the graph.
+BOOST_FIXTURE_TEST_CASE(callers_requests_give_way_to_a_bottleneck_below, entry_fixture)
+{
+    documents.rules.level = importance::background;
+    call_answer short_of_room = served(500);
+    short_of_room.downstream = {{"workbench", 0.9F}};
+    int throttled = 0;
+    for (int request = 0; request < 60; ++request) {
+        transport.script = {short_of_room};
+        throttled += send() == 503 ? 1 : 0;
+    }
+    BOOST_TEST(throttled > 0);
+}
+
+// Guards against requests beyond a rate that count as demand on a bottleneck, so that a flood of one organisation hides
+// what must be refused.
+BOOST_FIXTURE_TEST_CASE(requests_beyond_the_rate_are_no_demand, entry_fixture)
+{
+    const std::vector<downstream_load> full{{"workbench", 0.4F}};
+    for (int request = 0; request < 200; ++request) {
+        bottlenecks.observe("orders/" + documents.rules.name, true, full);
+        rates.refused = request % 10 != 0;
+        transport.script = {served()};
+        send({{"Authorization", "Bearer good"}, {"Mulberry-Request-Id", "r-9"}}, 20ms);
+    }
+    // All requests within the rate are of one rank, so that the refused part of the demand is theirs.
+    const double part =
+        bottlenecks.admitted_part("orders/" + documents.rules.name, {documents.rules.level, documents.rules.level});
+    BOOST_TEST(part < 0.6);
+}
+
+// Guards against calls of the upstream that are refused for a bottleneck, and against a node that doesn't report what
+// they met.
+BOOST_FIXTURE_TEST_CASE(calls_of_the_upstream_are_not_throttled_but_reported, entry_fixture)
+{
+    documents.rules.open = true;
+    for (int call = 0; call < 60; ++call) {
+        transport.script = std::deque<call_answer>(4, refused(refusal_reason::queue_full, outcome::not_run));
+        send({{"Mulberry-Request-Id", "r-9"}}, 10ms);
+    }
+    BOOST_TEST(transport.calls.size() >= 60U);
+    const auto report = downstream.report();
+    BOOST_REQUIRE(report.size() == 1U);
+    BOOST_TEST(report.front().service == "orders");
+}
+
 // Guards against giving up a request because the only upstream was full a moment ago.
 BOOST_FIXTURE_TEST_CASE(a_full_upstream_is_tried_again_if_there_is_no_other, entry_fixture)
 {
--- a/tests/auto/plugins/guard/tst_guard.cpp
+++ b/tests/auto/plugins/guard/tst_guard.cpp
@@ -288,6 +288,7 @@
         made.fields.not_executed = "Not-Run";
         made.fields.calling_service = "Caller";
         made.fields.forwards_host = true;
+        made.downstream_report = [] { return std::vector{downstream_load{"workbench", 0.5F}}; };
         return made;
     }
 
@@ -321,6 +322,17 @@
     BOOST_TEST(upstream.requests == 1);
 }
 
+// Guards against senders that do not hear of the lack of room further down; a call that did not run tells nothing of
+// it.
+BOOST_FIXTURE_TEST_CASE(answers_that_ran_report_the_services_below, announced_fixture)
+{
+    BOOST_TEST(call().downstream.empty());
+    announce();
+    const auto reported = call().downstream;
+    BOOST_REQUIRE(reported.size() == 1U);
+    BOOST_TEST(reported.front().service == "workbench");
+}
+
 // Guards against identities that a caller made up, and against a request for another run of the upstream.
 BOOST_FIXTURE_TEST_CASE(the_upstream_gets_the_identities_of_this_node, announced_fixture)
 {
