Bound retries by the requests of a sliding window

Cause: the budget of a node was earned by its successes and held 1.5 tokens on the users' sites. While an upstream sheds half of its requests, half as much is earned as when retries are not needed at all.

Ruled out: more attempts per call (two upstreams may get a request there).

Change: retry_budget is an interface; besides the one earned by successes there is one that counts requests and retries in a sliding window, as the bound is stated. Half of the bound was kept for retries below retries; calls now say how probable it is that they are made on behalf of a repeated request, and count as retries by that part, so that a quarter is kept.

The test of damaged messages compares the new field too: it travels last, so a message that is cut before it differs in nothing else.

--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -23,8 +23,9 @@
 // calls, because the upstream stays and would be idle.
 constexpr duration guard_leaving_delay = std::chrono::milliseconds(1900);
 constexpr duration guard_leaving_grace = std::chrono::milliseconds(400);
-// Half of the bound is left to other windows of time and to repeated calls below repeated ones.
-constexpr double retry_bound_share = 0.5;
+// The rest of the bound is left to nodes that start again, which know nothing of their earlier retries, and to the
+// error of the estimate of calls on behalf of repeated requests.
+constexpr double retry_bound_share = 0.75;
 // Callers value an answer within a time that is far longer than the way between regions, and the link is billed by
 // volume.
 constexpr duration region_gain = std::chrono::milliseconds(200);
@@ -113,6 +114,9 @@
     entry.open_requests_are_nested = true;
     entry.status_tells_outcome = true;
     entry.fractional_retry_after = true;
+    m_retry_bound.window = m_settings.retry_window;
+    entry.make_retry_budget = [this] { return std::make_unique<windowed_retry_budget>(m_retry_bound, m_timers); };
+    entry.upstream_repeat_share = [this] { return m_guard->repeat_share(); };
     m_entry = std::make_unique<entry_service>(
         std::move(entry), entry_parts{m_timers, environment.random, environment.secure_random, m_policy, *m_quotas,
                                       *m_throttle, *m_selector, *m_registry, *m_transport, environment.observer,
@@ -211,12 +215,8 @@
 {
     const double nodes = static_cast<double>(std::max<std::size_t>(m_registry->members().size(), 1));
     const double slack = m_settings.retry_slack * retry_bound_share / nodes;
-    retry_budget_settings budget;
-    budget.earned_per_success = m_settings.retry_ratio * retry_bound_share;
-    budget.capacity = std::max(slack, 1.0);
-    budget.floor_per_second = slack / to_seconds(m_settings.retry_window);
-    budget.important_reserve = 0;
-    m_entry->set_retry_budget(budget);
+    m_retry_bound.ratio = m_settings.retry_ratio * retry_bound_share;
+    m_retry_bound.slack = std::max(slack, 1.0);
 }
 
 void sidecar_node::update_selector()
--- a/src/app/sidecar/sidecarnode.h
+++ b/src/app/sidecar/sidecarnode.h
@@ -9,6 +9,7 @@
 #include "plugins/entry/entryservice.h"
 #include "plugins/quota/quotaservice.h"
 #include "plugins/registry/storeregistry.h"
+#include "plugins/retry/windowedretrybudget.h"
 #include "plugins/upstream/upstreamtracker.h"
 #include "plugins/virtualhosts/hostpolicy.h"
 
@@ -82,6 +83,7 @@
     std::unique_ptr<upstream_selector> m_selector;
     std::unique_ptr<guard_service> m_guard;
     std::unique_ptr<local_transport> m_transport;
+    windowed_retry_budget_settings m_retry_bound;
     std::unique_ptr<entry_service> m_entry;
     std::unique_ptr<drain_adapter> m_drain_adapter;
     std::unique_ptr<drain_controller> m_drain;
--- a/src/plugins/calls/callcodec.cpp
+++ b/src/plugins/calls/callcodec.cpp
@@ -62,8 +62,8 @@
 {
     return !message.sender_name().empty() && message.sequence() > 0 && message.level() < all_importances.size() &&
            is_interval(message.remaining_us()) && message.retries() <= most_retries && message.depth() > 0 &&
-           message.depth() <= deepest_call && message.path().starts_with('/') && !has_line_break(message.path()) &&
-           !message.method().empty() && !has_line_break(message.method());
+           message.depth() <= deepest_call && is_share(message.repeat_share()) && message.path().starts_with('/') &&
+           !has_line_break(message.path()) && !message.method().empty() && !has_line_break(message.method());
 }
 
 bool is_valid_downstream(const calls::proto::downstream_load& message)
@@ -140,6 +140,7 @@
     message.set_level(static_cast<std::uint32_t>(request.level));
     message.set_remaining_us(request.remaining.count());
     message.set_retries(request.retries);
+    message.set_repeat_share(request.repeat_share);
     message.set_idempotent(request.idempotent);
     message.set_idempotency_key(request.idempotency_key);
     message.set_revision(request.revision);
@@ -193,6 +194,7 @@
     request.level = static_cast<importance>(message.level());
     request.remaining = duration{message.remaining_us()};
     request.retries = message.retries();
+    request.repeat_share = message.repeat_share();
     request.idempotent = message.idempotent();
     request.idempotency_key = message.idempotency_key();
     request.revision = message.revision();
--- a/src/plugins/calls/callrequest.h
+++ b/src/plugins/calls/callrequest.h
@@ -29,6 +29,9 @@
     duration remaining{0};
     /// Retries that the guard's side may use for nested calls.
     std::uint32_t retries = 0;
+    /// Probability that the call counts as a repetition: 1 after an attempt that may have arrived, otherwise that of
+    /// the request on whose behalf it is made.
+    float repeat_share = 0;
     bool idempotent = false;
     /// As received; empty if there is none.
     std::string idempotency_key;
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -99,6 +99,8 @@
     std::uint32_t attempts = 0;
     /// Attempts that an upstream may have got.
     std::uint32_t arrivals = 0;
+    /// Probability that the call is made on behalf of a repeated request.
+    double repeat_share = 0;
     bool may_have_run = false;
     bool finished = false;
 
@@ -348,6 +350,8 @@
     if (!invariant_monitor::instance().check(request->attempts < request->most_attempts, invariant::attempts_bounded,
                                              "a request made more attempts than its tree may make"))
         return refuse(*request, not_run(refusal_reason::invariant_violated));
+    if (request->attempts == 0)
+        note_first_attempt(*request);
     ++request->attempts;
     request->upstream = *upstream;
     request->sequence = ++m_last_sequence;
@@ -359,6 +363,13 @@
         *upstream, call, [this, request](leaf::result<call_answer> result) { on_answer(request, std::move(result)); });
 }
 
+void entry_service::note_first_attempt(pending& request)
+{
+    if (is_upstream_call(request) && m_settings.upstream_repeat_share)
+        request.repeat_share = m_settings.upstream_repeat_share();
+    budget_of(request.service).on_request(request.repeat_share);
+}
+
 call_request entry_service::make_call(pending& request)
 {
     call_request call;
@@ -373,6 +384,7 @@
     call.level = request.level;
     call.remaining = request.deadline - m_parts.timers.now();
     call.retries = request.loan.attempts;
+    call.repeat_share = request.arrivals > 0 ? 1 : static_cast<float>(request.repeat_share);
     call.idempotent = request.matched.idempotent;
     if (request.once_key)
         call.idempotency_key = to_string(*request.once_key);
@@ -684,19 +696,14 @@
     m_requests.erase(handle);
 }
 
-void entry_service::set_retry_budget(const retry_budget_settings& settings)
-{
-    m_settings.budget = settings;
-    for (auto& [service, budget] : m_budgets)
-        budget.configure(settings);
-}
-
 retry_budget& entry_service::budget_of(const std::string& service)
 {
-    const auto it = m_budgets.find(service);
-    if (it != m_budgets.end())
-        return it->second;
-    return m_budgets.try_emplace(service, m_settings.budget, m_parts.timers).first->second;
+    std::unique_ptr<retry_budget>& budget = m_budgets[service];
+    if (budget == nullptr)
+        budget = m_settings.make_retry_budget
+                     ? m_settings.make_retry_budget()
+                     : std::make_unique<earned_retry_budget>(earned_retry_budget_settings{}, m_parts.timers);
+    return *budget;
 }
 
 duration entry_service::jittered(duration interval)
--- a/src/plugins/entry/entryservice.h
+++ b/src/plugins/entry/entryservice.h
@@ -9,6 +9,7 @@
 #include "plugins/entry/policy.h"
 #include "plugins/entry/ratelimiter.h"
 #include "plugins/membership/memberdirectory.h"
+#include "plugins/retry/earnedretrybudget.h"
 #include "plugins/retry/retrypolicy.h"
 #include "plugins/routing/upstreamselector.h"
 #include "plugins/throttle/bottleneckthrottle.h"
@@ -45,7 +46,10 @@
 struct entry_settings {
     node_id self;
     retry_settings retry;
-    retry_budget_settings budget;
+    /// Makes the budget of the retries to one service; empty for one that is earned by successes.
+    std::function<std::unique_ptr<retry_budget>()> make_retry_budget;
+    /// Share of the upstream's calls that it makes on behalf of repeated requests; empty if that isn't known.
+    std::function<double()> upstream_repeat_share;
     /// Retry-After of refusals that name none; the jitter makes it 0.5 to 1.5 times this.
     duration default_retry_after{std::chrono::seconds(1)};
     field_names fields;
@@ -104,9 +108,6 @@
 
     std::size_t in_progress() const { return m_requests.size(); }
 
-    /// Applies to all services; what has been earned is kept.
-    void set_retry_budget(const retry_budget_settings& settings);
-
 private:
     struct pending;
     using pending_ptr = std::shared_ptr<pending>;
@@ -125,6 +126,7 @@
     void take_token(const pending_ptr& request);
     void first_attempt(const pending_ptr& request);
     void attempt(const pending_ptr& request);
+    void note_first_attempt(pending& request);
     std::optional<std::string> choose(const pending& request);
     call_request make_call(pending& request);
     void on_answer(const pending_ptr& request, leaf::result<call_answer> result);
@@ -151,7 +153,7 @@
     entry_settings m_settings;
     entry_parts m_parts;
     retry_policy m_retry;
-    std::map<std::string, retry_budget> m_budgets;
+    std::map<std::string, std::unique_ptr<retry_budget>> m_budgets;
     std::unordered_map<entry_handle, pending_ptr> m_requests;
     entry_handle m_last_handle = 0;
     std::uint64_t m_last_sequence = 0;
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -398,6 +398,19 @@
     finish(node.mapped(), std::move(answer));
 }
 
+double guard_service::repeat_share() const
+{
+    double sum = 0;
+    double running = 0;
+    for (const auto& [id, entry] : m_calls) {
+        if (!entry.running)
+            continue;
+        sum += static_cast<double>(entry.request.repeat_share);
+        running += 1;
+    }
+    return running > 0 ? sum / running : 0;
+}
+
 std::shared_ptr<call_context> guard_service::find_context(std::string_view token) const
 {
     const auto it = m_contexts.find(std::string(token));
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -80,6 +80,8 @@
     std::uint64_t once_epoch() const { return m_once.epoch(); }
 
     std::size_t in_progress() const { return m_calls.size(); }
+    /// Part of the running calls that are repetitions, in [0, 1]; 0 if none runs.
+    double repeat_share() const;
     const admission_queue& admission() const { return m_admission; }
     const once_ledger& once() const { return m_once; }
 
--- a/src/plugins/retry/retrybudget.cpp
+++ b/src/plugins/retry/earnedretrybudget.cpp
@@ -1,28 +1,21 @@
-#include "plugins/retry/retrybudget.h"
+#include "plugins/retry/earnedretrybudget.h"
 
 #include <algorithm>
 
 namespace mulberry {
 
-retry_budget::retry_budget(retry_budget_settings settings, timer_service& timers)
+earned_retry_budget::earned_retry_budget(earned_retry_budget_settings settings, timer_service& timers)
     : m_settings(settings), m_timers(timers), m_level(settings.capacity), m_updated(timers.now())
 {
 }
 
-void retry_budget::configure(const retry_budget_settings& settings)
-{
-    m_level = std::min(available(), settings.capacity);
-    m_updated = m_timers.now();
-    m_settings = settings;
-}
-
-void retry_budget::on_success()
+void earned_retry_budget::on_success()
 {
     m_level = std::min(available() + m_settings.earned_per_success, m_settings.capacity);
     m_updated = m_timers.now();
 }
 
-bool retry_budget::take(importance level)
+bool earned_retry_budget::take(importance level)
 {
     m_level = available();
     m_updated = m_timers.now();
@@ -33,7 +26,7 @@
     return true;
 }
 
-double retry_budget::available() const
+double earned_retry_budget::available() const
 {
     const double earned = to_seconds(m_timers.now() - m_updated) * m_settings.floor_per_second;
     return std::min(m_level + earned, m_settings.capacity);
--- a/src/plugins/retry/retrybudget.h
+++ b/src/plugins/retry/retrybudget.h
@@ -1,38 +1,23 @@
 #pragma once
 
 #include "libs/base/importance.h"
-#include "libs/base/timerservice.h"
 
 namespace mulberry {
 
-struct retry_budget_settings {
-    /// Tokens earned by each success.
-    double earned_per_success = 0.1;
-    /// Tokens earned per second without successes, so that a service with little traffic can retry.
-    double floor_per_second = 1;
-    /// Most tokens kept.
-    double capacity = 20;
-    /// Part of the capacity that only high and critical requests may use, because under overload the less important
-    /// ones fail more often and would spend everything.
-    double important_reserve = 0.5;
-};
-
-/// Token bucket that limits the retries of this node to one service to a fraction of its recent successes.
+/// Bounds the retries of this node to one service, so that failures do not multiply the load on it.
 class retry_budget {
 public:
-    retry_budget(retry_budget_settings settings, timer_service& timers);
-
-    void on_success();
-    void configure(const retry_budget_settings& settings);
-    /// Takes one token for a retry; false if less than one is left for the importance.
-    bool take(importance level);
-    double available() const;
+    retry_budget() = default;
+    retry_budget(const retry_budget&) = delete;
+    retry_budget& operator=(const retry_budget&) = delete;
+    virtual ~retry_budget() = default;
 
-private:
-    retry_budget_settings m_settings;
-    timer_service& m_timers;
-    double m_level;
-    time_point m_updated;
+    /// A call is sent for the first time. The repeat share is the probability that it is made on behalf of a request
+    /// that was itself repeated, in [0, 1].
+    virtual void on_request(double repeat_share) = 0;
+    virtual void on_success() = 0;
+    /// Takes a retry; false if the budget is spent for the importance.
+    virtual bool take(importance level) = 0;
 };
 
 } // namespace mulberry
--- a/src/tools/overloadexperiment/callgraph.h
+++ b/src/tools/overloadexperiment/callgraph.h
@@ -2,6 +2,7 @@
 
 #include "fakes/virtualtimerservice.h"
 #include "libs/base/randomsource.h"
+#include "plugins/retry/earnedretrybudget.h"
 #include "plugins/retry/retrypolicy.h"
 #include "plugins/routing/upstreamselector.h"
 #include "plugins/throttle/entrythrottle.h"
@@ -83,7 +84,7 @@
     std::string m_service;
     upstream_selector m_selector;
     retry_policy m_policy;
-    retry_budget m_budget;
+    earned_retry_budget m_budget;
 };
 
 /// A guard with its upstream: a gate, work, and a call to the next service if there is one.
--- a/tests/auto/plugins/calls/tst_calls.cpp
+++ b/tests/auto/plugins/calls/tst_calls.cpp
@@ -23,6 +23,7 @@
     request.level = importance::critical;
     request.remaining = std::chrono::milliseconds(80);
     request.retries = 2;
+    request.repeat_share = 0.25F;
     request.idempotency_key = "v1.stores-1.1.1.0";
     request.depth = 2;
     request.method = "POST";
@@ -68,6 +69,7 @@
     BOOST_TEST((decoded->headers == request.headers));
     BOOST_TEST((decoded->remaining == request.remaining));
     BOOST_TEST((decoded->level == request.level));
+    BOOST_TEST(decoded->repeat_share == request.repeat_share);
     BOOST_TEST(decoded->body == request.body);
     call_answer answer = sample_answer();
     answer.reason = refusal_reason::key_missing; // the first enumerator must differ from "no reason"
@@ -81,7 +83,8 @@
 // Guards against values that a faulty or hostile peer could smuggle into the program.
 BOOST_AUTO_TEST_CASE(unsound_requests_are_refused)
 {
-    const std::array<std::function<void(call_request&)>, 11> faults{
+    const std::array<std::function<void(call_request&)>, 12> faults{
+        [](call_request& r) { r.repeat_share = 1.5F; },
         [](call_request& r) { r.attempt.sender.name.clear(); },
         [](call_request& r) { r.attempt.sequence = 0; },
         [](call_request& r) { r.level = static_cast<importance>(9); },
@@ -132,8 +135,10 @@
     seeded_random_source random(11);
     for (std::size_t length = 0; length < whole.size(); ++length) {
         const auto decoded = decode_call_request(std::string_view(whole).substr(0, length));
+        // Fields travel in the order of their numbers, so a cut message lacks the last ones.
         if (decoded)
-            BOOST_TEST((decoded->body != sample_request().body || decoded->headers != sample_request().headers));
+            BOOST_TEST((decoded->body != sample_request().body || decoded->headers != sample_request().headers ||
+                        decoded->repeat_share != sample_request().repeat_share));
     }
     for (int i = 0; i < 2000; ++i) {
         std::string damaged = whole;
--- a/tests/auto/plugins/entry/tst_entry.cpp
+++ b/tests/auto/plugins/entry/tst_entry.cpp
@@ -2,6 +2,7 @@
 #include "libs/base/asyncerror.h"
 #include "plugins/calls/headerpolicy.h"
 #include "plugins/entry/entryservice.h"
+#include "plugins/retry/windowedretrybudget.h"
 
 #include <deque>
 #include <memory>
@@ -115,6 +116,8 @@
     no_members members;
     scripted_transport transport{timers};
     silent_observer observer;
+    windowed_retry_budget_settings retry_bound{1, 20, 10s};
+    double repeat_share = 0;
     std::unique_ptr<entry_service> entry;
     std::optional<caller_answer> answer;
 
@@ -133,6 +136,8 @@
         settings.open_requests_are_nested = true;
         settings.status_tells_outcome = true;
         settings.fractional_retry_after = true;
+        settings.make_retry_budget = [this] { return std::make_unique<windowed_retry_budget>(retry_bound, timers); };
+        settings.upstream_repeat_share = [this] { return repeat_share; };
         entry = std::make_unique<entry_service>(settings, entry_parts{timers, random, random, documents, rates,
                                                                       throttle, selector, members, transport, observer,
                                                                       &downstream, &bottlenecks});
@@ -260,16 +265,38 @@
 // Guards against retries that are refused for lack of budget although no upstream got the attempt.
 BOOST_FIXTURE_TEST_CASE(refusals_of_guards_need_no_budget, entry_fixture)
 {
-    retry_budget_settings none;
-    none.capacity = 0;
-    none.floor_per_second = 0;
-    entry->set_retry_budget(none);
+    retry_bound.ratio = 0;
+    retry_bound.slack = 0;
     transport.script = {refused(refusal_reason::queue_full, outcome::not_run), served()};
     BOOST_TEST(send() == 200);
     transport.script = {refused(refusal_reason::upstream_shed, outcome::not_run), served()};
     BOOST_TEST(send() == 503);
 }
 
+// Guards against retries below retries that no node counts: a repeated attempt says so, and so do the calls that an
+// upstream makes while it runs repeated requests.
+BOOST_FIXTURE_TEST_CASE(repetitions_are_marked, entry_fixture)
+{
+    transport.script = {refused(refusal_reason::upstream_shed, outcome::not_run), served()};
+    send();
+    BOOST_REQUIRE(transport.calls.size() == 2U);
+    BOOST_TEST(transport.calls[0].repeat_share == 0.0F);
+    BOOST_TEST(transport.calls[1].repeat_share == 1.0F);
+    // A guard's refusal is no arrival, so the next attempt is the first.
+    transport.calls.clear();
+    transport.script = {refused(refusal_reason::queue_full, outcome::not_run), served()};
+    send();
+    BOOST_REQUIRE(transport.calls.size() == 2U);
+    BOOST_TEST(transport.calls[1].repeat_share == 0.0F);
+    transport.calls.clear();
+    documents.rules.open = true;
+    repeat_share = 0.5;
+    transport.script = {served()};
+    send({{"Mulberry-Request-Id", "r-9"}});
+    BOOST_REQUIRE(transport.calls.size() == 1U);
+    BOOST_TEST(transport.calls[0].repeat_share == 0.5F);
+}
+
 // Guards against an answer after the route's timeout, and against work that goes on after it.
 BOOST_FIXTURE_TEST_CASE(the_timeout_ends_a_request, entry_fixture)
 {
--- a/tests/auto/plugins/retry/tst_retry.cpp
+++ b/tests/auto/plugins/retry/tst_retry.cpp
@@ -4,7 +4,9 @@
 
 #include "fakes/virtualtimerservice.h"
 #include "libs/base/invariant.h"
+#include "plugins/retry/earnedretrybudget.h"
 #include "plugins/retry/retrypolicy.h"
+#include "plugins/retry/windowedretrybudget.h"
 
 #include <functional>
 #include <set>
@@ -81,7 +83,7 @@
     virtual_timer_service timers;
     seeded_random_source random(3);
     retry_policy policy({}, timers, random);
-    retry_budget budget({.floor_per_second = 0, .capacity = each.budget, .important_reserve = 0}, timers);
+    earned_retry_budget budget({.floor_per_second = 0, .capacity = each.budget, .important_reserve = 0}, timers);
     attempt_allowance allowance(each.allowance);
     failed_attempt attempt = retryable();
     each.change(attempt);
@@ -112,7 +114,7 @@
     std::set<duration> delays;
     for (int turn = 0; turn < 50; ++turn) {
         attempt_allowance allowance(1);
-        retry_budget budget({}, timers);
+        earned_retry_budget budget({}, timers);
         failed_attempt attempt = retryable();
         attempt.attempts_made = 2;
         const auto verdict = policy.on_failure(attempt, allowance, budget);
@@ -121,7 +123,7 @@
     BOOST_TEST(delays.size() > 20U);
     BOOST_TEST(delays.rbegin()->count() <= 20'000);
     attempt_allowance allowance(1);
-    retry_budget budget({}, timers);
+    earned_retry_budget budget({}, timers);
     failed_attempt attempt = retryable();
     attempt.failure = not_run(refusal_reason::leaving);
     BOOST_TEST(std::get<retry_decision>(policy.on_failure(attempt, allowance, budget)).delay.count() == 0);
@@ -130,8 +132,8 @@
 BOOST_AUTO_TEST_CASE(budget_follows_successes_and_keeps_a_reserve)
 {
     virtual_timer_service timers;
-    retry_budget budget({.earned_per_success = 0.1, .floor_per_second = 1, .capacity = 10, .important_reserve = 0.5},
-                        timers);
+    earned_retry_budget budget(
+        {.earned_per_success = 0.1, .floor_per_second = 1, .capacity = 10, .important_reserve = 0.5}, timers);
     int normal = 0;
     while (budget.take(importance::normal))
         ++normal;
@@ -200,3 +202,65 @@
     BOOST_TEST(allowance.remaining() == 4U);
     BOOST_TEST(violations() == before + 3);
 }
+
+namespace {
+
+struct window_fixture {
+    /// Sends calls evenly and lets a part of them ask for one retry each; returns how many got it.
+    int play(int calls, duration time, double wanted)
+    {
+        int granted = 0;
+        double owed = 0;
+        for (int call = 0; call < calls; ++call) {
+            timers.advance(time / calls);
+            budget.on_request(0);
+            for (owed += wanted; owed >= 1; owed -= 1)
+                granted += budget.take(importance::normal) ? 1 : 0;
+        }
+        return granted;
+    }
+
+    virtual_timer_service timers;
+    windowed_retry_budget_settings settings{0.2, 5, std::chrono::seconds(10)};
+    windowed_retry_budget budget{settings, timers};
+};
+
+} // namespace
+
+// Guards against a service that gets more retries than the bound in any window, with steady and with changing load.
+BOOST_FIXTURE_TEST_CASE(windowed_budget_keeps_the_bound, window_fixture)
+{
+    BOOST_TEST(play(1'000, std::chrono::seconds(10), 1) <= 205);
+    BOOST_TEST(play(1'000, std::chrono::seconds(10), 1) <= 205);
+    // The window before had more requests.
+    BOOST_TEST(play(100, std::chrono::seconds(10), 5) <= 205);
+    BOOST_TEST(play(100, std::chrono::seconds(10), 5) <= 25);
+}
+
+// Guards against a budget that is spent where it is needed most: a budget earned by successes gives nothing while all
+// calls fail.
+BOOST_FIXTURE_TEST_CASE(windowed_budget_can_be_used_while_calls_fail, window_fixture)
+{
+    play(1'000, std::chrono::seconds(10), 0);
+    BOOST_TEST(play(500, std::chrono::seconds(5), 0.5) >= 190);
+}
+
+// Guards against retries below retries, which multiply.
+BOOST_FIXTURE_TEST_CASE(calls_on_behalf_of_repeated_requests_use_the_budget, window_fixture)
+{
+    for (int call = 0; call < 1'000; ++call) {
+        timers.advance(std::chrono::milliseconds(10));
+        budget.on_request(0.3);
+    }
+    BOOST_TEST(!budget.take(importance::critical));
+}
+
+// Guards against an idle service whose first failure cannot be repeated.
+BOOST_FIXTURE_TEST_CASE(windowed_budget_has_slack, window_fixture)
+{
+    for (int retry = 0; retry < 5; ++retry)
+        BOOST_TEST(budget.take(importance::normal));
+    BOOST_TEST(!budget.take(importance::normal));
+    timers.advance(std::chrono::seconds(60));
+    BOOST_TEST(budget.take(importance::normal));
+}
