Keep a part of the slots of an upstream free

Cause: the smallest service of both sites takes 1.3 times as long for every call once it uses more than 95% of its slots. Used to the full, it loses a quarter of its capacity just when every call to it counts.

Change: guard_settings::slot_share, 1 by default, 0.92 on the platform.

--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -29,6 +29,8 @@
 // Callers value an answer within a time that is far longer than the way between regions, and the link is billed by
 // volume.
 constexpr duration region_gain = std::chrono::milliseconds(200);
+// Some upstreams take longer for every call once they are nearly full.
+constexpr double slot_share = 0.92;
 constexpr duration upstream_ramp = std::chrono::seconds(4);
 
 } // namespace
@@ -98,6 +100,7 @@
     guard.dynamic_upstream = true;
     guard.upstream_leaving_grace = from_seconds(to_seconds(m_settings.drain_limit) * upstream_leaving_share);
     guard.fields = fields;
+    guard.slot_share = slot_share;
     guard.leaving_grace = guard_leaving_grace;
     // A call takes longer while the calls that it makes wait, which says nothing about this upstream.
     guard.admission.learn_limit = false;
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -83,7 +83,7 @@
     if (!m_upstream_state.service.empty())
         m_settings.service = m_upstream_state.service;
     if (m_upstream_state.slots > 0)
-        m_admission.set_slots(m_upstream_state.slots);
+        m_admission.set_slots(static_cast<std::uint32_t>(m_upstream_state.slots * m_settings.slot_share));
 }
 
 void guard_service::handle(std::string_view from, call_request request, answer_callback done)
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -29,6 +29,8 @@
     duration leaving_grace{std::chrono::seconds(2)};
     /// The upstream announces itself and may be replaced; see set_upstream.
     bool dynamic_upstream = false;
+    /// Part of the announced slots that is used at most: an upstream that is nearly full takes longer for every call.
+    double slot_share = 1;
     /// After the upstream has said that it leaves, calls are still handed over for this time.
     duration upstream_leaving_grace{std::chrono::seconds(1)};
     field_names fields;
--- a/tests/auto/plugins/guard/tst_guard.cpp
+++ b/tests/auto/plugins/guard/tst_guard.cpp
@@ -333,6 +333,18 @@
     BOOST_TEST(reported.front().service == "workbench");
 }
 
+// Guards against an upstream that is kept so full that it slows down.
+BOOST_FIXTURE_TEST_CASE(part_of_the_announced_slots_stays_free, announced_fixture)
+{
+    guard_settings settings = make_settings();
+    settings.slot_share = 0.9;
+    guard_service careful{settings, timers, random, upstream, observer};
+    careful.set_upstream({true, "i-1", "orders", 40, std::nullopt});
+    BOOST_TEST(careful.admission().concurrency_limit() == 36U);
+    careful.set_upstream({true, "i-2", "orders", 1, std::nullopt});
+    BOOST_TEST(careful.admission().concurrency_limit() == 1U);
+}
+
 // Guards against identities that a caller made up, and against a request for another run of the upstream.
 BOOST_FIXTURE_TEST_CASE(the_upstream_gets_the_identities_of_this_node, announced_fixture)
 {
