Refuse calls that would wait too long, and tell time from room

Calls with too little time left (deadline_unreachable) counted as lack of room, so that services were taken for bottlenecks. Shortly after the start it was the other way round: calls to cold upstreams waited in a queue until their deadline of 700 ms, and a call that expires did not count.

Ruled out: one region that is full while the other has room (calls that both upstreams near by refuse go to the other region and are served there).

Change: deadline_unreachable no longer counts as lack of room; a call that expires after an attempt was refused for it does. A call whose expected wait is longer than 30% of its time left is refused at once (admission_settings::longest_wait_share), so that it can try another upstream.

--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -29,6 +29,8 @@
 // Callers value an answer within a time that is far longer than the way between regions, and the link is billed by
 // volume.
 constexpr duration region_gain = std::chrono::milliseconds(200);
+// Leaves time for an attempt at another upstream.
+constexpr double longest_wait_share = 0.3;
 // Some upstreams take longer for every call once they are nearly full.
 constexpr double slot_share = 0.92;
 constexpr duration upstream_ramp = std::chrono::seconds(4);
@@ -104,6 +106,7 @@
     guard.leaving_grace = guard_leaving_grace;
     // A call takes longer while the calls that it makes wait, which says nothing about this upstream.
     guard.admission.learn_limit = false;
+    guard.admission.longest_wait_share = longest_wait_share;
     m_downstream = std::make_unique<downstream_monitor>(m_timers);
     m_bottlenecks = std::make_unique<bottleneck_throttle>(bottleneck_throttle_settings{}, m_timers, environment.random);
     guard.downstream_report = [this] { return m_downstream->report(); };
--- a/src/plugins/admission/admissionqueue.cpp
+++ b/src/plugins/admission/admissionqueue.cpp
@@ -88,8 +88,13 @@
         return m_listener.on_refused(id, not_run(refusal_reason::leaving));
     if (request.deadline <= m_timers.now())
         return m_listener.on_refused(id, not_run(refusal_reason::deadline_expired));
-    if (!reachable(request.deadline, expected_wait(request.level)))
+    const duration wait = expected_wait(level);
+    if (!reachable(request.deadline, wait))
         return m_listener.on_refused(id, not_run(refusal_reason::deadline_unreachable));
+    if (to_seconds(wait) > to_seconds(request.deadline - m_timers.now()) * m_settings.longest_wait_share) {
+        m_statistics.on_decision(m_timers.now(), request.organisation, level, false);
+        return m_listener.on_refused(id, not_run(refusal_reason::queue_delay, retry_after_shed));
+    }
     enqueue({std::move(request), m_timers.now()});
     admit_while_free();
     make_room(level);
--- a/src/plugins/admission/admissionqueue.h
+++ b/src/plugins/admission/admissionqueue.h
@@ -26,6 +26,9 @@
     /// Longest wait once the queue has not been empty for as long as the longest wait above.
     duration standing_delay{20'000};
     double standing_services = 1;
+    /// Part of its time left that a request may be expected to wait; beyond that it is refused at once, so that there
+    /// is time to try another upstream.
+    double longest_wait_share = 1;
     queue_order order = queue_order::oldest_first;
     /// Off: the limit is always the number of slots.
     bool learn_limit = true;
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -53,12 +53,12 @@
     return failure.result != outcome::not_run || failure.reason == refusal_reason::upstream_shed;
 }
 
-/// Whether a guard refused because its upstream is used to the full. What an upstream sheds by itself does not count:
-/// admitting less would not change that.
+/// Whether a guard refused because its upstream is used to the full. What an upstream sheds by itself does not count,
+/// nor a call with too little time left: admitting less would not change that.
 bool lacks_room(refusal_reason reason)
 {
     return reason == refusal_reason::queue_full || reason == refusal_reason::queue_delay ||
-           reason == refusal_reason::importance_shed || reason == refusal_reason::deadline_unreachable;
+           reason == refusal_reason::importance_shed;
 }
 
 /// Statuses by which a caller may conclude that its request has not run.
@@ -102,6 +102,8 @@
     /// Probability that the call is made on behalf of a repeated request.
     double repeat_share = 0;
     bool may_have_run = false;
+    /// An attempt was refused for lack of room.
+    bool found_no_room = false;
     bool finished = false;
 
     std::vector<std::string> failed_upstreams;
@@ -483,6 +485,7 @@
 {
     if (failure.result != outcome::not_run)
         request->may_have_run = true;
+    request->found_no_room |= lacks_room(failure.reason);
     if (retry(request, failure, below, exhausted))
         return;
     if (request->parent != nullptr) {
@@ -615,7 +618,7 @@
 {
     if (request.may_have_run)
         why.result = outcome::unknown;
-    if (m_parts.downstream != nullptr && is_upstream_call(request) && lacks_room(why.reason))
+    if (m_parts.downstream != nullptr && is_upstream_call(request) && request.found_no_room)
         m_parts.downstream->on_refused(request.service);
     caller_answer answer;
     answer.status = status_of(why);
--- a/tests/auto/plugins/admission/tst_admission.cpp
+++ b/tests/auto/plugins/admission/tst_admission.cpp
@@ -155,6 +155,26 @@
     BOOST_CHECK(test.decisions.refused.contains(52));
 }
 
+// Guards against a request that spends all of its time in one queue while another upstream has room.
+BOOST_AUTO_TEST_CASE(refuses_what_would_wait_too_large_a_part_of_its_time)
+{
+    fixture test({.slots = 1, .queue_limit = 4, .longest_wait_share = 0.3});
+    test.offer(1, importance::normal, "a");
+    for (std::uint64_t each = 2; each < 40; ++each) {
+        test.timers.advance(duration{50'000});
+        test.offer(each, importance::normal, "a");
+        test.next(duration{50'000});
+    }
+    // One runs. With one that waits, the next one would wait for 50 ms.
+    test.offer(50, importance::normal, "a");
+    test.offer(51, importance::normal, "a", duration{150'000});
+    BOOST_REQUIRE(test.decisions.refused.contains(51));
+    BOOST_CHECK(test.decisions.refused.at(51).reason == refusal_reason::queue_delay);
+    BOOST_CHECK(test.decisions.refused.at(51).result == outcome::not_run);
+    test.offer(52, importance::normal, "a", duration{400'000});
+    BOOST_TEST(!test.decisions.refused.contains(52));
+}
+
 // After a stall the estimate of the service time must not refuse everything for ever.
 BOOST_AUTO_TEST_CASE(estimate_recovers_after_slow_requests)
 {
--- a/tests/auto/plugins/entry/tst_entry.cpp
+++ b/tests/auto/plugins/entry/tst_entry.cpp
@@ -218,6 +218,33 @@
     BOOST_TEST(throttled > 0);
 }
 
+// Guards against entries that refuse requests because calls had too little time left or were shed by the upstream
+// itself.
+BOOST_FIXTURE_TEST_CASE(only_a_lack_of_room_makes_a_bottleneck, entry_fixture)
+{
+    documents.rules.open = true;
+    for (const refusal_reason reason :
+         {refusal_reason::deadline_unreachable, refusal_reason::upstream_shed, refusal_reason::no_upstream}) {
+        for (int call = 0; call < 60; ++call) {
+            transport.script = std::deque<call_answer>(4, refused(reason, outcome::not_run));
+            send({{"Mulberry-Request-Id", "r-9"}}, 10ms);
+        }
+    }
+    BOOST_TEST(downstream.report().empty());
+}
+
+// Guards against a bottleneck that no entry hears of because its refusals take up all the time of the calls.
+BOOST_FIXTURE_TEST_CASE(a_call_that_expires_after_a_refusal_found_no_room, entry_fixture)
+{
+    documents.rules.open = true;
+    documents.rules.deadline = 100ms;
+    for (int call = 0; call < 20; ++call) {
+        transport.script = {refused(refusal_reason::queue_full, outcome::not_run)};
+        BOOST_TEST(send({{"Mulberry-Request-Id", "r-9"}}, 110ms) == 504);
+    }
+    BOOST_TEST(downstream.report().size() == 1U);
+}
+
 // Guards against requests beyond a rate that count as demand on a bottleneck, so that a flood of one organisation hides
 // what must be refused.
 BOOST_FIXTURE_TEST_CASE(requests_beyond_the_rate_are_no_demand, entry_fixture)
