Split the entry by duty

Checks of a request (entry_checks), load (entry_load) and the answers of refusals (refusal_writer) are classes of their own; the settings and parts, and the request on its way, have their own headers. No behaviour changes but one: a request that is refused because the view is too old gets its Retry-After from the same place as all others.

--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -3,12 +3,10 @@
 #include "libs/base/asyncerror.h"
 #include "libs/base/invariant.h"
 #include "plugins/calls/headerpolicy.h"
-#include "plugins/entry/problemdocument.h"
 #include "plugins/once/idempotencykey.h"
+#include "plugins/retry/earnedretrybudget.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <utility>
 
 #include <fmt/format.h>
@@ -19,26 +17,13 @@
 namespace {
 
 constexpr std::string_view key_issue_prefix = "/mulberry/v1/idempotency-keys/";
-constexpr std::string_view authorization_header = "Authorization";
 constexpr int status_created = 201;
-constexpr int status_bad_gateway = 502;
 constexpr int status_service_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
 // Fields of a call besides headers and body, for the byte budget of the link between regions.
 constexpr std::uint64_t call_overhead_bytes = 200;
 // Status that the account shows for a caller that left before its answer.
 constexpr std::uint32_t status_caller_gone = 499;
 
-std::optional<duration> parse_milliseconds(std::string_view text)
-{
-    constexpr std::int64_t longest_ms = 86'400'000;
-    std::int64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || end != text.data() + text.size() || value < 0 || value > longest_ms)
-        return std::nullopt;
-    return std::chrono::milliseconds(value);
-}
-
 std::uint64_t size_of(const header_list& headers, const std::string& body)
 {
     std::uint64_t bytes = call_overhead_bytes + body.size();
@@ -53,73 +38,11 @@
     return failure.result != outcome::not_run || failure.reason == refusal_reason::upstream_shed;
 }
 
-/// Whether a guard refused because its upstream is used to the full. What an upstream sheds by itself does not count,
-/// nor a call with too little time left: admitting less would not change that.
-bool lacks_room(refusal_reason reason)
-{
-    return reason == refusal_reason::queue_full || reason == refusal_reason::queue_delay ||
-           reason == refusal_reason::importance_shed;
-}
-
-/// Statuses by which a caller may conclude that its request has not run.
-bool promises_not_run(int status)
-{
-    constexpr std::array promises{408, 421, 429, 503};
-    return std::ranges::find(promises, status) != promises.end();
-}
-
 } // namespace
 
-struct entry_service::pending {
-    entry_handle handle = 0;
-    std::string request_id;
-    caller_request input;
-    answer_callback done;
-    time_point received;
-    /// Parent of a nested call; null for a caller's request.
-    std::shared_ptr<call_context> parent;
-    std::optional<attempt_allowance::loan> parent_loan;
-
-    std::string service;
-    std::string path;
-    route matched;
-    std::size_t body_cap = 0;
-    std::string key;
-    std::string organisation;
-    importance level = importance::normal;
-    std::uint32_t depth = 1;
-    std::optional<idempotency_key> once_key;
-    time_point deadline;
-    timer_id deadline_timer = 0;
-    timer_id retry_timer = 0;
-
-    attempt_allowance allowance{0};
-    std::uint32_t most_attempts = 1;
-    std::uint32_t most_arrivals = 1;
-    std::uint32_t attempts = 0;
-    /// Attempts that an upstream may have got.
-    std::uint32_t arrivals = 0;
-    /// Probability that the call is made on behalf of a repeated request.
-    double repeat_share = 0;
-    bool may_have_run = false;
-    /// An attempt was refused for lack of room.
-    bool found_no_room = false;
-    bool finished = false;
-
-    std::vector<std::string> failed_upstreams;
-    std::string upstream;
-    std::uint64_t sequence = 0;
-    attempt_allowance::loan loan;
-    time_point sent;
-    call_id in_flight = 0;
-    duration queue_wait{0};
-    duration last_service_time{0};
-    /// The upstream's own answer to the last attempt, which the caller gets if there is no further attempt.
-    std::optional<call_answer> last_answer;
-};
-
 entry_service::entry_service(entry_settings settings, entry_parts parts)
-    : m_settings(std::move(settings)), m_parts(parts), m_retry(m_settings.retry, parts.timers, parts.random)
+    : m_settings(std::move(settings)), m_parts(parts), m_checks(m_settings, m_parts), m_load(m_parts),
+      m_refusals(m_settings, parts.random), m_retry(m_settings.retry, parts.timers, parts.random)
 {
 }
 
@@ -131,7 +54,7 @@
 
 entry_handle entry_service::handle(caller_request request, answer_callback done)
 {
-    auto state = std::make_shared<pending>();
+    auto state = std::make_shared<detail::entry_request>();
     state->input = std::move(request);
     state->done = std::move(done);
     return start(state);
@@ -140,7 +63,7 @@
 entry_handle entry_service::handle_nested(std::shared_ptr<call_context> parent, caller_request request,
                                           answer_callback done)
 {
-    auto state = std::make_shared<pending>();
+    auto state = std::make_shared<detail::entry_request>();
     state->input = std::move(request);
     state->done = std::move(done);
     state->parent = std::move(parent);
@@ -163,13 +86,15 @@
         issue_idempotency_key(*request);
         return 0;
     }
-    auto refused = match(*request);
+    auto refused = m_checks.match(*request);
     if (!refused)
-        refused = authenticate(*request);
+        refused = m_checks.authenticate(*request);
+    if (!refused && request->parent != nullptr)
+        request->parent->nested[request->handle] = [this, handle = request->handle] { cancel(handle); };
     if (!refused)
-        refused = check_idempotency_key(*request);
+        refused = m_checks.check_idempotency_key(*request);
     if (!refused)
-        refused = check_load(*request);
+        refused = m_load.check(*request);
     if (refused) {
         refuse(*request, *refused);
         return 0;
@@ -180,27 +105,6 @@
     return request->finished ? 0 : request->handle;
 }
 
-std::optional<refusal> entry_service::check_load(const pending& request)
-{
-    // Refusing a nested call would waste the work that its parent has done already.
-    if (request.parent != nullptr || is_upstream_call(request))
-        return std::nullopt;
-    return m_parts.throttle.check(request.service, request.level, request.organisation);
-}
-
-std::string entry_service::bottleneck_route(const pending& request)
-{
-    return fmt::format("{}/{}", request.service, request.matched.name);
-}
-
-/// Called for requests within the rate of their organisation only: what is beyond it is no demand on the bottleneck.
-std::optional<refusal> entry_service::check_bottlenecks(const pending& request)
-{
-    if (m_parts.bottlenecks == nullptr || request.parent != nullptr || is_upstream_call(request))
-        return std::nullopt;
-    return m_parts.bottlenecks->check(bottleneck_route(request), {request.level, request.matched.level});
-}
-
 std::string entry_service::request_id_of(const pending& request) const
 {
     if (request.parent != nullptr)
@@ -210,102 +114,6 @@
     return fmt::format("{}-{}-{}", m_settings.self.name, m_settings.self.incarnation, request.handle);
 }
 
-std::optional<refusal> entry_service::match(pending& request)
-{
-    auto found = m_parts.documents.match(request.input.method, request.input.path, request.input.host);
-    if (const auto* refused = std::get_if<refusal>(&found))
-        return *refused;
-    auto& matched = std::get<matched_route>(found);
-    request.service = std::move(matched.service);
-    request.path = std::move(matched.path);
-    request.matched = std::move(matched.rules);
-    if (request.input.body.size() > matched.body_cap_bytes)
-        return not_run(refusal_reason::body_too_large);
-    request.level = request.matched.level;
-    request.most_attempts = std::max(matched.total_attempts, 1U);
-    request.most_arrivals = matched.most_arrivals;
-    request.allowance = attempt_allowance(request.most_attempts - 1);
-    request.deadline = request.received + request.matched.deadline;
-    const std::string_view wanted = find_header(request.input.headers, m_settings.fields.deadline);
-    if (wanted.empty())
-        return std::nullopt;
-    const auto limit = parse_milliseconds(wanted);
-    if (!limit)
-        return not_run(refusal_reason::malformed_request);
-    request.deadline = std::min(request.deadline, request.received + *limit);
-    return std::nullopt;
-}
-
-bool entry_service::is_upstream_call(const pending& request) const
-{
-    return m_settings.open_requests_are_nested && request.matched.open &&
-           find_header(request.input.headers, authorization_header).empty();
-}
-
-std::optional<refusal> entry_service::authenticate(pending& request)
-{
-    if (request.parent != nullptr) {
-        const call_context& parent = *request.parent;
-        request.organisation = parent.organisation;
-        request.level = std::min(parent.level, request.matched.level);
-        request.depth = parent.depth + 1;
-        request.deadline = std::min(request.deadline, parent.deadline);
-        if (!request.matched.allows_calling_service(parent.service))
-            return not_run(refusal_reason::organisation_not_allowed);
-        if (!request.matched.open && !request.matched.allows_organisation(request.organisation))
-            return not_run(refusal_reason::organisation_not_allowed);
-        request.parent_loan = request.parent->allowance.lend(request.parent->allowance.part_to_lend());
-        request.allowance = attempt_allowance(request.parent_loan->attempts);
-        request.most_attempts = request.parent_loan->attempts + 1;
-        request.parent->nested[request.handle] = [this, handle = request.handle] { cancel(handle); };
-        return std::nullopt;
-    }
-    if (request.matched.open)
-        return std::nullopt;
-    const std::string_view field = find_header(request.input.headers, authorization_header);
-    if (!field.starts_with(m_settings.fields.credential_prefix))
-        return not_run(refusal_reason::key_missing);
-    if (!m_parts.documents.keyed_requests_allowed())
-        return not_run(refusal_reason::view_stale, jittered(m_settings.default_retry_after));
-    request.key = field.substr(m_settings.fields.credential_prefix.size());
-    const auto organisation = m_parts.documents.organisation_of(request.key);
-    if (!organisation)
-        return not_run(refusal_reason::key_unknown);
-    if (!request.matched.allows_organisation(*organisation))
-        return not_run(refusal_reason::organisation_not_allowed);
-    request.organisation = *organisation;
-    request.level = m_parts.documents.level_of(request.matched, request.organisation);
-    return std::nullopt;
-}
-
-std::optional<refusal> entry_service::check_idempotency_key(pending& request)
-{
-    const std::string_view text = find_header(request.input.headers, idempotency_key_header);
-    if (request.matched.idempotent || text.empty())
-        return std::nullopt;
-    request.once_key = parse_idempotency_key(text);
-    if (!request.once_key)
-        return not_run(refusal_reason::idempotency_key_invalid);
-    const member* home = m_parts.members.find(request.once_key->home.name);
-    // An earlier request with this key may have run at the home that is gone.
-    if (home == nullptr || home->id != request.once_key->home)
-        return refusal{refusal_reason::idempotency_home_lost, outcome::unknown, duration{0}};
-    if (home->service != request.service)
-        return not_run(refusal_reason::idempotency_key_invalid);
-    return std::nullopt;
-}
-
-std::optional<refusal> entry_service::reauthorise(const pending& request) const
-{
-    if (request.parent != nullptr || request.matched.open)
-        return std::nullopt;
-    if (!m_parts.documents.keyed_requests_allowed())
-        return not_run(refusal_reason::view_stale);
-    if (!m_parts.documents.authorises(request.key, request.organisation))
-        return not_run(refusal_reason::key_unknown);
-    return std::nullopt;
-}
-
 void entry_service::take_token(const pending_ptr& request)
 {
     if (request->parent != nullptr || request->matched.open)
@@ -321,7 +129,7 @@
 
 void entry_service::first_attempt(const pending_ptr& request)
 {
-    if (const auto refused = check_bottlenecks(*request))
+    if (const auto refused = m_load.check_bottlenecks(*request))
         return refuse(*request, *refused);
     attempt(request);
 }
@@ -344,7 +152,7 @@
 void entry_service::attempt(const pending_ptr& request)
 {
     request->retry_timer = 0;
-    if (const auto refused = reauthorise(*request))
+    if (const auto refused = m_checks.reauthorise(*request))
         return refuse(*request, *refused);
     const auto upstream = choose(*request);
     if (!upstream)
@@ -367,7 +175,7 @@
 
 void entry_service::note_first_attempt(pending& request)
 {
-    if (is_upstream_call(request) && m_settings.upstream_repeat_share)
+    if (request.is_upstream_call && m_settings.upstream_repeat_share)
         request.repeat_share = m_settings.upstream_repeat_share();
     budget_of(request.service).on_request(request.repeat_share);
 }
@@ -440,28 +248,13 @@
     else {
         m_parts.selector.on_failed(request.upstream);
     }
-    m_parts.throttle.observe(request.service, request.upstream, request.organisation, answer.load);
-    learn_downstream(request, answer);
+    m_load.learn(request, answer);
     if (request.parent == nullptr)
         return;
     std::optional<load_report>& below = request.parent->load_below;
     below = below ? stricter(*below, answer.load) : answer.load;
 }
 
-void entry_service::learn_downstream(const pending& request, const call_answer& answer)
-{
-    if (answer.result != outcome::ran)
-        return;
-    if (is_upstream_call(request)) {
-        if (m_parts.downstream != nullptr)
-            m_parts.downstream->on_answered(request.service, answer.downstream);
-        return;
-    }
-    constexpr int first_server_error = 500;
-    if (m_parts.bottlenecks != nullptr)
-        m_parts.bottlenecks->observe(bottleneck_route(request), answer.status >= first_server_error, answer.downstream);
-}
-
 void entry_service::accept_answer(const pending_ptr& request, call_answer answer)
 {
     request->allowance.give_back(request->loan.id, answer.unused_retries);
@@ -485,7 +278,7 @@
 {
     if (failure.result != outcome::not_run)
         request->may_have_run = true;
-    request->found_no_room |= lacks_room(failure.reason);
+    request->found_no_room |= detail::lacks_room(failure.reason);
     if (retry(request, failure, below, exhausted))
         return;
     if (request->parent != nullptr) {
@@ -594,43 +387,12 @@
     finish(*request, std::move(out), std::nullopt);
 }
 
-int entry_service::status_of(const refusal& why) const
-{
-    const int status = http_status(why.reason);
-    if (!m_settings.status_tells_outcome)
-        return status;
-    if (why.result != outcome::not_run && promises_not_run(status))
-        return status_bad_gateway;
-    if (why.result == outcome::not_run && status == status_gateway_timeout)
-        return status_service_unavailable;
-    return status;
-}
-
-std::string entry_service::retry_after_text(duration interval) const
-{
-    if (m_settings.fractional_retry_after)
-        return fmt::format("{:.3f}", to_seconds(interval));
-    // Whole seconds (RFC 9110); rounding up keeps the caller from coming back too early.
-    return fmt::to_string(std::chrono::ceil<std::chrono::seconds>(interval).count());
-}
-
 void entry_service::refuse(pending& request, refusal why)
 {
     if (request.may_have_run)
         why.result = outcome::unknown;
-    if (m_parts.downstream != nullptr && is_upstream_call(request) && request.found_no_room)
-        m_parts.downstream->on_refused(request.service);
-    caller_answer answer;
-    answer.status = status_of(why);
-    answer.headers.emplace_back("Content-Type", problem_content_type);
-    constexpr int too_many_requests = 429;
-    if (answer.status == too_many_requests || answer.status == status_service_unavailable) {
-        if (why.retry_after <= duration{0})
-            why.retry_after = jittered(m_settings.default_retry_after);
-        answer.headers.emplace_back("Retry-After", retry_after_text(why.retry_after));
-    }
-    answer.body = problem_document(why, request.request_id);
-    finish(request, std::move(answer), why);
+    m_load.on_refused(request);
+    finish(request, m_refusals.write(why, request.request_id), why);
 }
 
 decision_record entry_service::make_record(const pending& request) const
@@ -709,9 +471,4 @@
     return *budget;
 }
 
-duration entry_service::jittered(duration interval)
-{
-    return from_seconds(to_seconds(interval) * (0.5 + m_parts.random.unit()));
-}
-
 } // namespace mulberry
