Serve callers of mulberryd on the event loop; stronger random run

Cause: libmicrohttpd, on which ulfius is built, answers requests with unclear framing by itself, with the status line and fields twice, does not answer an unknown transfer coding, and takes two Host fields. Nothing of that can be changed from outside.

--- a/src/app/mulberryd/daemon.cpp
+++ b/src/app/mulberryd/daemon.cpp
@@ -14,6 +14,12 @@
 
 namespace {
 
+// Services may set a lower cap for their routes.
+constexpr std::size_t largest_body_bytes = std::size_t{1024} * 1024;
+constexpr duration caller_idle_timeout = std::chrono::seconds(60);
+// How long idle kept connections stay open at the end of a stop, so that a request on its way is still answered.
+constexpr duration idle_grace = std::chrono::milliseconds(500);
+
 /// Nodes keep nothing, so the time of day orders the runs of one node name.
 std::uint64_t incarnation_now()
 {
@@ -26,16 +32,26 @@
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
 
-http_server_settings server_settings(const daemon_settings& settings, const network_endpoint& endpoint)
+http_server_settings operator_server_settings(const daemon_settings& settings)
 {
     http_server_settings result;
-    result.address = endpoint.address;
-    result.port = endpoint.port;
+    result.address = settings.operators_listen.address;
+    result.port = settings.operators_listen.port;
     result.max_connections = settings.caller_connections;
     result.max_header_bytes = settings.header_cap_bytes;
     return result;
 }
 
+http1_limits caller_limits(const daemon_settings& settings)
+{
+    http1_limits limits;
+    limits.max_header_bytes = settings.header_cap_bytes;
+    limits.max_body_bytes = largest_body_bytes;
+    limits.max_connections = settings.caller_connections;
+    limits.idle_timeout = caller_idle_timeout;
+    return limits;
+}
+
 } // namespace
 
 std::string_view to_string(daemon_error error)
@@ -70,11 +86,10 @@
     build_node(ports.peers);
     BOOST_LEAF_CHECK(load_documents());
     build_frontends();
-    BOOST_LEAF_ASSIGN(ports.callers, start_server(m_caller_server, *m_caller_frontend, m_settings.callers_listen));
-    BOOST_LEAF_ASSIGN(ports.nested, start_server(m_nested_server, *m_nested_frontend, m_settings.nested_listen));
+    BOOST_LEAF_ASSIGN(ports.callers, start_port(m_caller_server, *m_caller_frontend, m_settings.callers_listen));
+    BOOST_LEAF_ASSIGN(ports.nested, start_port(m_nested_server, *m_nested_frontend, m_settings.nested_listen));
     if (!m_credential.empty()) {
-        BOOST_LEAF_ASSIGN(ports.operators,
-                          start_server(m_operator_server, *m_operator_api, m_settings.operators_listen));
+        BOOST_LEAF_ASSIGN(ports.operators, start_operators());
     }
     return ports;
 }
@@ -206,18 +221,18 @@
 {
     m_call_handler = std::make_unique<call_handler>(m_node->guard());
     m_router.add(std::string(call_path), *m_call_handler);
-    m_caller_frontend = std::make_unique<caller_frontend>(*m_node);
-    m_nested_frontend = std::make_unique<nested_frontend>(*m_node);
+    m_caller_frontend = make_caller_frontend(*m_node);
+    m_nested_frontend = make_nested_frontend(*m_node);
     m_operator_api = std::make_unique<operator_api>(
         operator_parts{*m_node, *m_control, peers(), *this, m_metrics, [this] { stop(); }}, m_credential);
     m_router.add(std::string(document_write_path), *m_operator_api);
 }
 
-leaf::result<std::uint16_t> daemon::start_server(std::unique_ptr<http_server>& server, http_handler& handler,
-                                                 const network_endpoint& endpoint)
+leaf::result<std::uint16_t> daemon::start_port(std::unique_ptr<http1_server>& server, http1_handler& handler,
+                                               const network_endpoint& endpoint)
 {
-    server = std::make_unique<http_server>(m_loop, handler, server_settings(m_settings, endpoint));
-    auto port = server->start();
+    server = std::make_unique<http1_server>(m_loop, handler, caller_limits(m_settings));
+    auto port = server->start(endpoint.address, endpoint.port);
     if (!port) {
         log_error("daemon", "Cannot listen on {}.", to_string(endpoint));
         return leaf::new_error(daemon_error::cannot_listen);
@@ -225,6 +240,17 @@
     return *port;
 }
 
+leaf::result<std::uint16_t> daemon::start_operators()
+{
+    m_operator_server = std::make_unique<http_server>(m_loop, *m_operator_api, operator_server_settings(m_settings));
+    auto port = m_operator_server->start();
+    if (!port) {
+        log_error("daemon", "Cannot listen on {}.", to_string(m_settings.operators_listen));
+        return leaf::new_error(daemon_error::cannot_listen);
+    }
+    return *port;
+}
+
 std::optional<std::string> daemon::find_address(std::string_view node_name) const
 {
     return m_node ? m_node->members().address_of(node_name) : std::nullopt;
@@ -238,7 +264,7 @@
         return;
     }
     m_caller_server->stop_accepting();
-    m_node->drain([this](std::size_t) { close_servers(); });
+    m_node->drain([this](std::size_t) { m_timers.schedule(idle_grace, [this] { close_servers(); }); });
 }
 
 void daemon::close_servers()
--- a/src/app/mulberryd/daemon.h
+++ b/src/app/mulberryd/daemon.h
@@ -55,8 +55,9 @@
     leaf::result<void> load_documents();
     leaf::result<std::uint16_t> start_peers();
     peer_caller& peers();
-    leaf::result<std::uint16_t> start_server(std::unique_ptr<http_server>& server, http_handler& handler,
-                                             const network_endpoint& endpoint);
+    leaf::result<std::uint16_t> start_port(std::unique_ptr<http1_server>& server, http1_handler& handler,
+                                           const network_endpoint& endpoint);
+    leaf::result<std::uint16_t> start_operators();
     void build_store();
     void build_node(std::uint16_t peer_port);
     void build_frontends();
@@ -86,11 +87,11 @@
     std::unique_ptr<node> m_node;
 
     std::unique_ptr<call_handler> m_call_handler;
-    std::unique_ptr<caller_frontend> m_caller_frontend;
-    std::unique_ptr<nested_frontend> m_nested_frontend;
+    std::unique_ptr<caller_port> m_caller_frontend;
+    std::unique_ptr<caller_port> m_nested_frontend;
     std::unique_ptr<operator_api> m_operator_api;
-    std::unique_ptr<http_server> m_caller_server;
-    std::unique_ptr<http_server> m_nested_server;
+    std::unique_ptr<http1_server> m_caller_server;
+    std::unique_ptr<http1_server> m_nested_server;
     std::unique_ptr<http_server> m_operator_server;
 };
 
--- a/src/app/mulberryd/httpfrontend.cpp
+++ b/src/app/mulberryd/httpfrontend.cpp
@@ -9,51 +9,34 @@
 
 namespace {
 
-caller_request to_caller_request(http_server_request request)
+caller_answer not_ready()
 {
-    std::string path = std::move(request.path);
-    if (!request.query.empty()) {
-        path += '?';
-        path += request.query;
-    }
-    return {std::move(request.method), std::move(path), std::move(request.headers), std::move(request.body), {}};
-}
-
-entry_service::answer_callback answer_through(const std::shared_ptr<http_responder>& responder)
-{
-    return [responder](caller_answer answer) {
-        responder->answer({answer.status, std::move(answer.headers), std::move(answer.body)});
-    };
-}
-
-void cancel_when_gone(entry_service& entry, entry_handle handle, http_responder& responder)
-{
-    if (handle != 0)
-        responder.on_caller_gone([&entry, handle] { entry.cancel(handle); });
+    const refusal why = not_run(refusal_reason::starting);
+    return {http_status(why.reason),
+            {{"Content-Type", std::string(problem_content_type)}, {"Retry-After", "1"}},
+            problem_document(why, {})};
 }
 
 } // namespace
 
-void caller_frontend::on_request(http_server_request request, std::shared_ptr<http_responder> responder)
+std::unique_ptr<caller_port> make_caller_frontend(node& owner)
 {
-    if (!m_node.ready()) {
-        const refusal why = not_run(refusal_reason::starting);
-        return responder->answer({http_status(why.reason),
-                                  {{"Content-Type", std::string(problem_content_type)}, {"Retry-After", "1"}},
-                                  problem_document(why, {})});
-    }
-    entry_service& entry = m_node.entry();
-    const entry_handle handle = entry.handle(to_caller_request(std::move(request)), answer_through(responder));
-    cancel_when_gone(entry, handle, *responder);
+    const auto begin = [&owner](caller_request request, entry_service::answer_callback done) -> entry_handle {
+        if (owner.ready())
+            return owner.entry().handle(std::move(request), std::move(done));
+        done(not_ready());
+        return 0;
+    };
+    return std::make_unique<caller_port>(owner.entry(), begin);
 }
 
-void nested_frontend::on_request(http_server_request request, std::shared_ptr<http_responder> responder)
+std::unique_ptr<caller_port> make_nested_frontend(node& owner)
 {
-    const auto context = m_node.guard().find_context(find_header(request.headers, context_header));
-    entry_service& entry = m_node.entry();
-    const entry_handle handle =
-        entry.handle_nested(context, to_caller_request(std::move(request)), answer_through(responder));
-    cancel_when_gone(entry, handle, *responder);
+    const auto begin = [&owner](caller_request request, entry_service::answer_callback done) {
+        const auto context = owner.guard().find_context(find_header(request.headers, context_header));
+        return owner.entry().handle_nested(context, std::move(request), std::move(done));
+    };
+    return std::make_unique<caller_port>(owner.entry(), begin);
 }
 
 } // namespace mulberry
--- a/src/app/mulberryd/httpfrontend.h
+++ b/src/app/mulberryd/httpfrontend.h
@@ -1,30 +1,16 @@
 #pragma once
 
+#include "app/callerport/callerport.h"
 #include "app/node/node.h"
-#include "libs/http/httpserver.h"
 
-namespace mulberry {
-
-/// Gives callers' requests to the entry once the node is ready.
-class caller_frontend final : public http_handler {
-public:
-    explicit caller_frontend(node& owner) : m_node(owner) {}
-
-    void on_request(http_server_request request, std::shared_ptr<http_responder> responder) override;
+#include <memory>
 
-private:
-    node& m_node;
-};
-
-/// Gives nested calls of the upstream to the entry, with the running call that their token names.
-class nested_frontend final : public http_handler {
-public:
-    explicit nested_frontend(node& owner) : m_node(owner) {}
+namespace mulberry {
 
-    void on_request(http_server_request request, std::shared_ptr<http_responder> responder) override;
+/// The port for callers: their requests go to the entry once the node is ready.
+std::unique_ptr<caller_port> make_caller_frontend(node& owner);
 
-private:
-    node& m_node;
-};
+/// The port for nested calls of the upstream: they go to the entry with the running call that their token names.
+std::unique_ptr<caller_port> make_nested_frontend(node& owner);
 
 } // namespace mulberry
--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -54,40 +54,6 @@
     return "invalid";
 }
 
-/// Callers and the upstream's own calls.
-class sidecar_daemon::caller_port final : public http1_handler {
-public:
-    explicit caller_port(sidecar_node& node) : m_node(node) {}
-
-    void on_request(http1_request_id id, http1_request request, answer_callback done) override
-    {
-        caller_request call;
-        call.method = std::move(request.method);
-        call.path = std::move(request.target);
-        call.headers = std::move(request.headers);
-        call.body = std::move(request.body);
-        call.host = std::move(request.host);
-        const entry_handle handle =
-            m_node.entry().handle(std::move(call), [this, id, done = std::move(done)](caller_answer answer) {
-                m_handles.erase(id);
-                done({answer.status, std::move(answer.headers), std::move(answer.body)});
-            });
-        if (handle != 0)
-            m_handles[id] = handle;
-    }
-
-    void on_caller_gone(http1_request_id id) override
-    {
-        const auto node = m_handles.extract(id);
-        if (!node.empty())
-            m_node.entry().cancel(node.mapped());
-    }
-
-private:
-    sidecar_node& m_node;
-    std::unordered_map<http1_request_id, entry_handle> m_handles;
-};
-
 class sidecar_daemon::readiness_port final : public http1_handler {
 public:
     readiness_port(sidecar_node& node, platform_adapter& platform) : m_node(node), m_platform(platform) {}
@@ -163,7 +129,11 @@
     m_calls = std::make_unique<call_handler>(m_node->guard());
     m_router.add(std::string(call_path), *m_calls);
     m_router.add(std::string(peer_control_link::path_prefix), m_control);
-    m_caller_port = std::make_unique<caller_port>(*m_node);
+    entry_service& entry = m_node->entry();
+    m_caller_port =
+        std::make_unique<caller_port>(entry, [&entry](caller_request request, entry_service::answer_callback done) {
+            return entry.handle(std::move(request), std::move(done));
+        });
     m_readiness_port = std::make_unique<readiness_port>(*m_node, platform);
     m_announcement_port = std::make_unique<announcement_port>(*m_node, platform);
     m_metrics_port = std::make_unique<metrics_port>(m_metrics);
--- a/src/app/sidecar/sidecardaemon.h
+++ b/src/app/sidecar/sidecardaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "app/callerport/callerport.h"
 #include "app/sidecar/decisionlines.h"
 #include "app/sidecar/platformadapter.h"
 #include "app/sidecar/sidecarnode.h"
@@ -17,7 +18,6 @@
 #include "libs/store/storefollower.h"
 
 #include <memory>
-#include <unordered_map>
 
 namespace mulberry {
 
@@ -37,7 +37,6 @@
     void stop();
 
 private:
-    class caller_port;
     class readiness_port;
     class announcement_port;
     class metrics_port;
--- a/src/libs/http1/http1server.cpp
+++ b/src/libs/http1/http1server.cpp
@@ -4,8 +4,11 @@
 #include "libs/http1/http1serverconnection.h"
 
 #include <set>
+#include <utility>
 #include <vector>
 
+#include <boost/asio/post.hpp>
+
 namespace mulberry {
 
 namespace {
@@ -23,7 +26,7 @@
                                            public std::enable_shared_from_this<implementation> {
 public:
     implementation(event_loop& loop, http1_handler& handler, const http1_limits& limits)
-        : m_handler(handler), m_limits(limits), m_acceptor(loop.context()), m_accept_timer(loop.context())
+        : m_loop(loop), m_handler(handler), m_limits(limits), m_acceptor(loop.context()), m_accept_timer(loop.context())
     {
     }
 
@@ -55,6 +58,13 @@
             connection->close_if_idle();
     }
 
+    void stop(std::function<void()> done)
+    {
+        m_stopped = std::move(done);
+        finish();
+        report_stop();
+    }
+
     void drop()
     {
         stop_listening();
@@ -84,6 +94,7 @@
     void connection_closed(http1_server_connection& connection) override
     {
         m_connections.erase(connection.shared_from_this());
+        report_stop();
     }
 
 private:
@@ -124,6 +135,13 @@
         });
     }
 
+    void report_stop()
+    {
+        if (m_stopped && m_connections.empty())
+            boost::asio::post(m_loop.context(), std::exchange(m_stopped, {}));
+    }
+
+    event_loop& m_loop;
     http1_handler& m_handler;
     http1_limits m_limits;
     tcp::acceptor m_acceptor;
@@ -132,6 +150,7 @@
     http1_request_id m_last_id = 0;
     std::size_t m_held_bytes = 0;
     bool m_closing = false;
+    std::function<void()> m_stopped;
 };
 
 http1_server::http1_server(event_loop& loop, http1_handler& handler, const http1_limits& limits)
@@ -159,6 +178,17 @@
     m_implementation->begin_closing();
 }
 
+void http1_server::stop_accepting()
+{
+    m_implementation->begin_closing();
+    m_implementation->stop_listening();
+}
+
+void http1_server::stop(std::function<void()> done)
+{
+    m_implementation->stop(std::move(done));
+}
+
 void http1_server::finish()
 {
     m_implementation->finish();
--- a/src/libs/http1/http1server.h
+++ b/src/libs/http1/http1server.h
@@ -79,8 +79,12 @@
     void set_limits(const http1_limits& limits);
     /// Answers carry "Connection: close" from now on, and connections end after them. Accepting goes on.
     void begin_closing();
+    /// The same, but no further connections are accepted.
+    void stop_accepting();
     /// Stops accepting and closes the connections on which no request has begun. The others end after their answers.
     void finish();
+    /// Like finish; calls back once no connection is open any more, not before this returns.
+    void stop(std::function<void()> done);
 
     std::size_t open_connections() const;
 
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -464,10 +464,14 @@
 retry_budget& entry_service::budget_of(const std::string& service)
 {
     std::unique_ptr<retry_budget>& budget = m_budgets[service];
-    if (budget == nullptr)
-        budget = m_settings.make_retry_budget
-                     ? m_settings.make_retry_budget()
-                     : std::make_unique<earned_retry_budget>(earned_retry_budget_settings{}, m_parts.timers);
+    if (budget != nullptr)
+        return *budget;
+    if (m_settings.make_retry_budget) {
+        budget = m_settings.make_retry_budget();
+    }
+    else {
+        budget = std::make_unique<earned_retry_budget>(earned_retry_budget_settings{}, m_parts.timers);
+    }
     return *budget;
 }
 
--- a/tests/auto/app/node/randomfleetrun.cpp
+++ b/tests/auto/app/node/randomfleetrun.cpp
@@ -188,7 +188,7 @@
 void random_fleet_run::draw_fault()
 {
     ++m_report.faults;
-    switch (m_random.uniform(6)) {
+    switch (m_random.uniform(7)) {
     case 0:
         return draw_network_fault();
     case 1:
@@ -199,6 +199,10 @@
         return draw_upstream_fault();
     case 4:
         return change_key();
+    case 5:
+        // The nodes that are cut off must notice by themselves that their view is old.
+        cut_off_from_everything(domains[m_random.uniform(domains.size())]);
+        return change_key();
     default:
         return heal();
     }
@@ -217,13 +221,23 @@
     m_fleet.set_group(domain, static_cast<int>(m_random.uniform(3)));
     if (m_random.uniform(2) == 0)
         return;
-    // Cut off from the platform as well.
+    cut_off_from_store(domain);
+}
+
+void random_fleet_run::cut_off_from_store(const std::string& domain)
+{
     for (const std::string& name : m_fleet.names()) {
         if (m_fleet.is_running(name) && name.find(domain) != std::string::npos)
             m_fleet.store_of(name).set_faults({.down = true});
     }
 }
 
+void random_fleet_run::cut_off_from_everything(const std::string& domain)
+{
+    m_fleet.set_group(domain, 1 + static_cast<int>(m_random.uniform(2)));
+    cut_off_from_store(domain);
+}
+
 void random_fleet_run::draw_store_fault()
 {
     const bool all = m_random.uniform(2) == 0;
--- a/tests/auto/app/node/randomfleetrun.h
+++ b/tests/auto/app/node/randomfleetrun.h
@@ -63,6 +63,8 @@
     void repeat_order(const std::string& body);
     void draw_fault();
     void draw_network_fault();
+    void cut_off_from_store(const std::string& domain);
+    void cut_off_from_everything(const std::string& domain);
     void draw_store_fault();
     void draw_node_fault();
     void draw_upstream_fault();
--- a/tests/auto/libs/http1/tst_http1client.cpp
+++ b/tests/auto/libs/http1/tst_http1client.cpp
@@ -1,7 +1,7 @@
 #include "libs/http1/http1client.h"
 
+#include "fakes/loopback.h"
 #include "libs/base/asyncerror.h"
-#include "loopback.h"
 
 #include <deque>
 #include <memory>
--- a/tests/auto/libs/http1/tst_http1server.cpp
+++ b/tests/auto/libs/http1/tst_http1server.cpp
@@ -1,6 +1,6 @@
 #include "libs/http1/http1server.h"
 
-#include "loopback.h"
+#include "fakes/loopback.h"
 
 #include <map>
 #include <vector>
@@ -139,6 +139,26 @@
     BOOST_TEST(begun.bytes().ends_with("whole"));
 }
 
+// Guards against a stop that is reported while answers are outstanding, and against one that never is.
+BOOST_FIXTURE_TEST_CASE(a_stop_is_reported_once_all_connections_have_ended, server_fixture)
+{
+    handler.hold = true;
+    raw_client busy(*this, port);
+    busy.send("GET /one HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(run_until([&] { return handler.held.size() == 1; }));
+    int stops = 0;
+    server.stop([&] { ++stops; });
+    for (int turn = 0; turn < 5; ++turn)
+        loop.context().poll();
+    BOOST_TEST(stops == 0);
+    handler.held.begin()->second({200, {}, "whole"});
+    BOOST_TEST(run_until([&] { return stops == 1; }));
+    BOOST_TEST(busy.bytes().ends_with("whole"));
+    http1_server unused(loop, handler);
+    unused.stop([&] { ++stops; });
+    BOOST_TEST(run_until([&] { return stops == 2; }));
+}
+
 // Guards against a HEAD answer with a body, and 204 with a length.
 BOOST_FIXTURE_TEST_CASE(answers_without_a_body, server_fixture)
 {
