--- a/src/plugins/calls/callrequest.h
+++ b/src/plugins/calls/callrequest.h
@@ -18,8 +18,8 @@
     attempt_id attempt;
     /// The request of the caller at whose root the call tree started.
     std::string request_id;
-    /// Name of the node that the call is meant for; empty from a sender that does not say so. The address of a node that
-    /// has gone may belong to another one.
+    /// Name of the node that the call is meant for; empty from a sender that does not say so. The address of a node
+    /// that has gone may belong to another one.
     std::string receiver;
     /// Empty on a route that is open to all.
     std::string organisation;
