Keep a part of the log's rate for what happens seldom

Change: lines of decisions use three quarters of the rate at most. The bound itself is a class with a test of its own.

--- a/src/libs/base/log.cpp
+++ b/src/libs/base/log.cpp
@@ -1,5 +1,7 @@
 #include "libs/base/log.h"
 
+#include "libs/base/lograte.h"
+
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -54,29 +56,29 @@
     return out + '"';
 }
 
+/// Lines with fields come for each request. The rest of the rate is left to what happens seldom, like starts and stops.
+constexpr double fields_rate_part = 0.75;
+
 /// Standard output as a log that never blocks and never grows beyond its rate.
 class structured_output {
 public:
-    void start(std::uint32_t lines_per_second) { m_limit = lines_per_second; }
-    bool started() const { return m_limit > 0; }
+    void start(std::uint32_t lines_per_second) { m_rate.start(lines_per_second); }
+    bool started() const { return m_rate.started(); }
     std::uint64_t left_out() const { return m_left_out_total; }
 
-    void write(log_level level, std::string_view part, std::string_view fields)
+    /// The line may use the rate up to a part of it.
+    void write(log_level level, std::string_view part, std::string_view fields, double rate_part)
     {
-        const auto now = std::chrono::steady_clock::now();
-        if (now - m_window >= std::chrono::seconds(1)) {
-            m_window = now;
-            m_lines = 0;
-            if (m_left_out > 0 && put(fmt::format("level=warning part=log left_out={}\n", m_left_out)))
-                m_left_out = 0;
-        }
+        if (m_rate.begin_second(std::chrono::steady_clock::now()) && m_left_out > 0 &&
+            put(fmt::format("level=warning part=log left_out={}\n", m_left_out)))
+            m_left_out = 0;
         const std::string_view name = level_names[static_cast<std::size_t>(level)];
-        if (m_lines >= m_limit || !put(fmt::format("level={} part={} {}\n", name, part, fields))) {
+        if (!m_rate.allows(rate_part) || !put(fmt::format("level={} part={} {}\n", name, part, fields))) {
             ++m_left_out;
             ++m_left_out_total;
             return;
         }
-        ++m_lines;
+        m_rate.count_line();
     }
 
 private:
@@ -89,11 +91,9 @@
         return ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
     }
 
-    std::uint32_t m_limit = 0;
-    std::uint32_t m_lines = 0;
+    detail::log_rate m_rate;
     std::uint64_t m_left_out = 0;
     std::uint64_t m_left_out_total = 0;
-    std::chrono::steady_clock::time_point m_window;
 };
 
 structured_output& output()
@@ -114,7 +114,7 @@
 {
     const std::lock_guard lock(output_mutex);
     if (level >= current_log_level() && output().started())
-        output().write(level, part, fields);
+        output().write(level, part, fields, fields_rate_part);
 }
 
 std::uint64_t log_lines_left_out()
@@ -127,7 +127,7 @@
 {
     const std::lock_guard lock(output_mutex);
     if (output().started())
-        return output().write(level, part, "msg=" + quoted(text));
+        return output().write(level, part, "msg=" + quoted(text), 1);
     fmt::print(stderr, "{} {}: {}\n", level_names[static_cast<std::size_t>(level)], part, text);
 }
 
--- a/src/libs/base/log.h
+++ b/src/libs/base/log.h
@@ -20,8 +20,8 @@
 /// beyond that, and lines that the reader of the pipe is too slow for, are counted and left out; a line says how many.
 void use_structured_log(std::uint32_t lines_per_second);
 
-/// Writes a line with fields "name=value", separated by spaces, in place of a sentence. Nothing is written unless
-/// use_structured_log has been called.
+/// Writes a line with fields "name=value" in place of a sentence, if use_structured_log has been called. These lines
+/// use three quarters of the rate at most, so that they do not push out sentences.
 void log_fields(log_level level, std::string_view part, std::string_view fields);
 
 /// Lines that were left out since the start.
--- a/tests/auto/libs/base/tst_base.cpp
+++ b/tests/auto/libs/base/tst_base.cpp
@@ -1,6 +1,7 @@
 #include "fakes/virtualtimerservice.h"
 #include "libs/base/asyncerror.h"
 #include "libs/base/importance.h"
+#include "libs/base/lograte.h"
 #include "libs/base/periodictimer.h"
 #include "libs/base/refusal.h"
 #include "libs/store/keyvaluestore.h"
@@ -25,6 +26,31 @@
     BOOST_TEST(names.size() == static_cast<std::size_t>(refusal_reason::count));
 }
 
+// Guards against lines of starts and stops that are left out because of the lines of decisions.
+BOOST_AUTO_TEST_CASE(frequent_lines_leave_room_for_others)
+{
+    detail::log_rate rate;
+    rate.start(20);
+    const detail::log_rate::clock::time_point begin{std::chrono::hours(1)};
+    const auto write = [&](int lines, double part) {
+        int written = 0;
+        for (int line = 0; line < lines; ++line) {
+            if (!rate.allows(part))
+                continue;
+            rate.count_line();
+            ++written;
+        }
+        return written;
+    };
+    BOOST_TEST(rate.begin_second(begin));
+    BOOST_TEST(write(100, 0.75) == 15);
+    BOOST_TEST(write(100, 1) == 5);
+    BOOST_TEST(!rate.begin_second(begin + std::chrono::milliseconds(999)));
+    BOOST_TEST(write(1, 1) == 0);
+    BOOST_TEST(rate.begin_second(begin + std::chrono::seconds(1)));
+    BOOST_TEST(write(100, 1) == 20);
+}
+
 // Guards against an error object that is lost between the place that fails and an asynchronous callback.
 BOOST_AUTO_TEST_CASE(captured_error_survives_its_scope)
 {
