Accept connections in one place

The accept loop with its pause after an error stood in http1_server and, with other names, in peer_server. Both use tcp_listener of libs/eventloop now. Behaviour is as it was; the tests of both servers pass unchanged.

--- /dev/null
+++ b/src/libs/eventloop/tcplistener.cpp
@@ -0,0 +1,97 @@
+#include "libs/eventloop/tcplistener.h"
+
+#include "libs/eventloop/eventloop.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace mulberry {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+// Without a pause a failing accept, for example without free descriptors, would spin.
+constexpr std::chrono::milliseconds accept_pause{100};
+
+} // namespace
+
+class tcp_listener::implementation final : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(event_loop& loop, take_socket take)
+        : m_take(std::move(take)), m_acceptor(loop.context()), m_timer(loop.context())
+    {
+    }
+
+    std::uint16_t start(std::string_view address, std::uint16_t port, error_code& error)
+    {
+        const auto host = boost::asio::ip::make_address(address, error);
+        const tcp::endpoint endpoint(host, port);
+        if (error || m_acceptor.open(endpoint.protocol(), error) ||
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error) || m_acceptor.bind(endpoint, error) ||
+            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error))
+            return 0;
+        accept();
+        return m_acceptor.local_endpoint().port();
+    }
+
+    void stop()
+    {
+        error_code ignored;
+        m_acceptor.close(ignored);
+        m_timer.cancel();
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([weak = weak_from_this()](const error_code& error, tcp::socket socket) {
+            const auto self = weak.lock();
+            if (!self || !self->m_acceptor.is_open())
+                return;
+            if (error)
+                return self->pause();
+            self->m_take(std::move(socket));
+            self->accept();
+        });
+    }
+
+    void pause()
+    {
+        m_timer.expires_after(accept_pause);
+        m_timer.async_wait([weak = weak_from_this()](const error_code& error) {
+            const auto self = weak.lock();
+            if (!error && self && self->m_acceptor.is_open())
+                self->accept();
+        });
+    }
+
+    take_socket m_take;
+    tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_timer;
+};
+
+tcp_listener::tcp_listener(event_loop& loop, take_socket take)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(take)))
+{
+}
+
+tcp_listener::~tcp_listener()
+{
+    stop();
+}
+
+std::uint16_t tcp_listener::start(std::string_view address, std::uint16_t port, error_code& error)
+{
+    return m_implementation->start(address, port, error);
+}
+
+void tcp_listener::stop()
+{
+    m_implementation->stop();
+}
+
+} // namespace mulberry
--- a/src/libs/http1/http1server.cpp
+++ b/src/libs/http1/http1server.cpp
@@ -1,6 +1,7 @@
 #include "libs/http1/http1server.h"
 
 #include "libs/eventloop/eventloop.h"
+#include "libs/eventloop/tcplistener.h"
 #include "libs/http1/http1serverconnection.h"
 
 #include <set>
@@ -17,38 +18,27 @@
 using boost::system::error_code;
 using detail::http1_server_connection;
 
-// Without a pause a failing accept, for example without free descriptors, would spin.
-constexpr std::chrono::milliseconds accept_pause{100};
-
 } // namespace
 
 class http1_server::implementation final : public detail::http1_connection_owner,
                                            public std::enable_shared_from_this<implementation> {
 public:
     implementation(event_loop& loop, http1_handler& handler, const http1_limits& limits)
-        : m_loop(loop), m_handler(handler), m_limits(limits), m_acceptor(loop.context()), m_accept_timer(loop.context())
+        : m_loop(loop), m_handler(handler), m_limits(limits),
+          m_listener(loop, [this](tcp::socket socket) { take(std::move(socket)); })
     {
     }
 
     boost::leaf::result<std::uint16_t> start(const std::string& address, std::uint16_t port)
     {
         error_code error;
-        const auto host = boost::asio::ip::make_address(address, error);
-        const tcp::endpoint endpoint(host, port);
-        if (error || m_acceptor.open(endpoint.protocol(), error) ||
-            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error) || m_acceptor.bind(endpoint, error) ||
-            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error))
+        const std::uint16_t bound = m_listener.start(address, port, error);
+        if (error)
             return boost::leaf::new_error(error);
-        accept();
-        return m_acceptor.local_endpoint().port();
+        return bound;
     }
 
-    void stop_listening()
-    {
-        error_code ignored;
-        m_acceptor.close(ignored);
-        m_accept_timer.cancel();
-    }
+    void stop_listening() { m_listener.stop(); }
 
     void finish()
     {
@@ -103,19 +93,6 @@
         return {m_connections.begin(), m_connections.end()};
     }
 
-    void accept()
-    {
-        m_acceptor.async_accept([weak = weak_from_this()](const error_code& error, tcp::socket socket) {
-            const auto self = weak.lock();
-            if (!self || !self->m_acceptor.is_open())
-                return;
-            if (error)
-                return self->pause_accepting();
-            self->take(std::move(socket));
-            self->accept();
-        });
-    }
-
     void take(tcp::socket socket)
     {
         if (m_connections.size() >= m_limits.max_connections)
@@ -125,16 +102,6 @@
         connection->start();
     }
 
-    void pause_accepting()
-    {
-        m_accept_timer.expires_after(accept_pause);
-        m_accept_timer.async_wait([weak = weak_from_this()](const error_code& error) {
-            const auto self = weak.lock();
-            if (!error && self && self->m_acceptor.is_open())
-                self->accept();
-        });
-    }
-
     void report_stop()
     {
         if (m_stopped && m_connections.empty())
@@ -144,8 +111,7 @@
     event_loop& m_loop;
     http1_handler& m_handler;
     http1_limits m_limits;
-    tcp::acceptor m_acceptor;
-    boost::asio::steady_timer m_accept_timer;
+    tcp_listener m_listener;
     std::set<std::shared_ptr<http1_server_connection>> m_connections;
     http1_request_id m_last_id = 0;
     std::size_t m_held_bytes = 0;
--- a/src/libs/peer/peerserver.cpp
+++ b/src/libs/peer/peerserver.cpp
@@ -3,6 +3,7 @@
 #include "libs/base/asyncerror.h"
 #include "libs/base/log.h"
 #include "libs/eventloop/eventloop.h"
+#include "libs/eventloop/tcplistener.h"
 #include "libs/peer/serverconnection.h"
 
 #include <set>
@@ -16,9 +17,6 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-// Without a pause a failing accept, for example without free descriptors, would spin.
-constexpr std::chrono::milliseconds accept_pause{100};
-
 } // namespace
 
 class peer_server::implementation final : public detail::server_connection_owner,
@@ -27,30 +25,25 @@
     implementation(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler,
                    const peer_settings& settings)
         : m_loop(loop), m_security(std::move(security)), m_handler(handler), m_settings(settings),
-          m_acceptor(loop.context()), m_accept_timer(loop.context())
+          m_listener(loop, [this](tcp::socket socket) { take(std::move(socket)); })
     {
     }
 
     leaf::result<std::uint16_t> start(std::string_view address, std::uint16_t port)
     {
         error_code error;
-        const auto host = boost::asio::ip::make_address(address, error);
-        const tcp::endpoint endpoint(host, port);
-        if (error || m_acceptor.open(endpoint.protocol(), error) ||
-            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error) || m_acceptor.bind(endpoint, error) ||
-            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error)) {
-            log_error("peer", "Cannot listen on {}:{}: {}.", address, port, error.message());
-            return captured_error<std::uint16_t>(peer_error::listen_failed);
-        }
-        accept();
-        return m_acceptor.local_endpoint().port();
+        const std::uint16_t bound = m_listener.start(address, port, error);
+        if (!error)
+            return bound;
+        log_error("peer", "Cannot listen on {}:{}: {}.", address, port, error.message());
+        return captured_error<std::uint16_t>(peer_error::listen_failed);
     }
 
     void stop(std::function<void()> done)
     {
         m_stopping = true;
         m_stopped = std::move(done);
-        close_acceptor();
+        m_listener.stop();
         for (const auto& connection : copy_of_connections())
             connection->drain();
         check_stopped();
@@ -60,7 +53,7 @@
     {
         m_dropped = true;
         m_stopped = nullptr;
-        close_acceptor();
+        m_listener.stop();
         for (const auto& connection : copy_of_connections())
             connection->close();
     }
@@ -102,47 +95,14 @@
         return {m_connections.begin(), m_connections.end()};
     }
 
-    void accept()
-    {
-        m_acceptor.async_accept([weak = weak_from_this()](const error_code& error, tcp::socket socket) {
-            const auto self = weak.lock();
-            if (!self || !self->m_acceptor.is_open())
-                return;
-            if (error) {
-                self->pause_accepting();
-            }
-            else {
-                self->take(std::move(socket));
-            }
-        });
-    }
-
     void take(tcp::socket socket)
     {
-        if (m_connections.size() < m_settings.max_connections) {
-            auto connection = std::make_shared<detail::server_connection>(std::move(socket), m_security, m_settings,
-                                                                          m_counters, weak_from_this());
-            m_connections.insert(connection);
-            connection->accept();
-        }
-        accept();
-    }
-
-    void pause_accepting()
-    {
-        m_accept_timer.expires_after(accept_pause);
-        m_accept_timer.async_wait([weak = weak_from_this()](const error_code& error) {
-            const auto self = weak.lock();
-            if (!error && self && self->m_acceptor.is_open())
-                self->accept();
-        });
-    }
-
-    void close_acceptor()
-    {
-        error_code ignored;
-        m_acceptor.close(ignored);
-        m_accept_timer.cancel();
+        if (m_connections.size() >= m_settings.max_connections)
+            return;
+        auto connection = std::make_shared<detail::server_connection>(std::move(socket), m_security, m_settings,
+                                                                      m_counters, weak_from_this());
+        m_connections.insert(connection);
+        connection->accept();
     }
 
     void check_stopped()
@@ -156,8 +116,7 @@
     peer_handler& m_handler;
     peer_settings m_settings;
     std::shared_ptr<peer_counters> m_counters = std::make_shared<peer_counters>();
-    tcp::acceptor m_acceptor;
-    boost::asio::steady_timer m_accept_timer;
+    tcp_listener m_listener;
     std::set<std::shared_ptr<detail::server_connection>> m_connections;
     std::size_t m_receiving_bytes = 0;
     bool m_stopping = false;
