End a request that cannot be read, and an idle connection, in one way

The handlers of header and body of http1_server_connection had three steps in common, and http1_exchange::idle gave the same lambda to its timer and to its socket. Each stands once. The header alone still answers 431 first.

--- a/src/libs/http1/http1exchange.cpp
+++ b/src/libs/http1/http1exchange.cpp
@@ -217,22 +217,17 @@
 {
     m_idle_since = m_timers.now();
     m_timer.expires_after(m_idle_limit);
-    m_timer.async_wait([weak = weak_from_this()](const error_code& error) {
+    // Whatever comes first: the limit, bytes that belong to no request, or the end of the connection.
+    const auto end = [weak = weak_from_this()](const error_code& error) {
         const auto self = weak.lock();
         if (error || !self || self->m_id != 0 || self->m_closed)
             return;
         self->close();
         if (const auto owner = self->m_owner.lock())
             owner->closed_while_idle(*self);
-    });
-    m_socket.async_wait(tcp::socket::wait_read, [weak = weak_from_this()](const error_code& error) {
-        const auto self = weak.lock();
-        if (error || !self || self->m_id != 0 || self->m_closed)
-            return;
-        self->close();
-        if (const auto owner = self->m_owner.lock())
-            owner->closed_while_idle(*self);
-    });
+    };
+    m_timer.async_wait(end);
+    m_socket.async_wait(tcp::socket::wait_read, end);
 }
 
 void http1_exchange::close()
--- a/src/libs/http1/http1serverconnection.cpp
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -111,16 +111,21 @@
                                     return;
                                 if (error == http::error::header_limit || error == http::error::buffer_overflow)
                                     return self->reject(status_header_too_large);
-                                if (error == http::error::body_limit)
-                                    return self->reject(status_too_large);
-                                if (is_malformed(error))
-                                    return self->reject(status_bad_request);
                                 if (error)
-                                    return self->close();
+                                    return self->end_reading(error);
                                 self->on_header();
                             });
 }
 
+void http1_server_connection::end_reading(const error_code& error)
+{
+    if (error == http::error::body_limit)
+        return reject(status_too_large);
+    if (is_malformed(error))
+        return reject(status_bad_request);
+    close();
+}
+
 void http1_server_connection::on_header()
 {
     const auto owner = m_owner.lock();
@@ -157,12 +162,8 @@
     http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code& error, std::size_t) {
         if (self->m_closed)
             return;
-        if (error == http::error::body_limit)
-            return self->reject(status_too_large);
-        if (is_malformed(error))
-            return self->reject(status_bad_request);
         if (error)
-            return self->close();
+            return self->end_reading(error);
         self->deliver();
     });
 }
--- a/src/libs/http1/http1serverconnection.h
+++ b/src/libs/http1/http1serverconnection.h
@@ -50,6 +50,8 @@
 
     void await_request();
     void read_header();
+    /// Refuses a request that could not be read, or closes if the caller has gone.
+    void end_reading(const error_code& error);
     void on_header();
     void read_body();
     void deliver();
