Use the existing endpoint type and field in the sidecar's settings

The sidecar's settings had a listen_address with a reader and a fault text of their own beside network_endpoint and the listen field of the daemon's settings. The endpoint has a header of its own now and endpoint_field serves both files. daemon::start_port and start_operators share the check of the port, which had been written twice when the callers' ports got another server.

Faults, defaults and reference pages are the same. An IPv6 address of a sidecar is announced in brackets now, as the daemon does it.

--- a/src/app/mulberryd/daemon.cpp
+++ b/src/app/mulberryd/daemon.cpp
@@ -52,6 +52,14 @@
     return limits;
 }
 
+leaf::result<std::uint16_t> checked_port(const leaf::result<std::uint16_t>& port, const network_endpoint& endpoint)
+{
+    if (port)
+        return *port;
+    log_error("daemon", "Cannot listen on {}.", to_string(endpoint));
+    return leaf::new_error(daemon_error::cannot_listen);
+}
+
 } // namespace
 
 std::string_view to_string(daemon_error error)
@@ -232,23 +240,13 @@
                                                const network_endpoint& endpoint)
 {
     server = std::make_unique<http1_server>(m_loop, handler, caller_limits(m_settings));
-    auto port = server->start(endpoint.address, endpoint.port);
-    if (!port) {
-        log_error("daemon", "Cannot listen on {}.", to_string(endpoint));
-        return leaf::new_error(daemon_error::cannot_listen);
-    }
-    return *port;
+    return checked_port(server->start(endpoint.address, endpoint.port), endpoint);
 }
 
 leaf::result<std::uint16_t> daemon::start_operators()
 {
     m_operator_server = std::make_unique<http_server>(m_loop, *m_operator_api, operator_server_settings(m_settings));
-    auto port = m_operator_server->start();
-    if (!port) {
-        log_error("daemon", "Cannot listen on {}.", to_string(m_settings.operators_listen));
-        return leaf::new_error(daemon_error::cannot_listen);
-    }
-    return *port;
+    return checked_port(m_operator_server->start(), m_settings.operators_listen);
 }
 
 std::optional<std::string> daemon::find_address(std::string_view node_name) const
--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -146,13 +146,13 @@
 
 sidecar_daemon::~sidecar_daemon() = default;
 
-leaf::result<void> sidecar_daemon::listen(http1_server& server, const listen_address& address)
+leaf::result<void> sidecar_daemon::listen(http1_server& server, const network_endpoint& endpoint)
 {
-    if (address.port == 0)
+    if (endpoint.port == 0)
         return {};
-    if (server.start(address.host, address.port))
+    if (server.start(endpoint.address, endpoint.port))
         return {};
-    log_error(log_part, "Cannot listen on {}:{}.", address.host, address.port);
+    log_error(log_part, "Cannot listen on {}.", to_string(endpoint));
     return leaf::new_error(sidecar_error::cannot_listen);
 }
 
@@ -164,7 +164,7 @@
     BOOST_LEAF_CHECK(listen(*m_readiness, m_settings.readiness));
     BOOST_LEAF_CHECK(listen(*m_callers, m_settings.callers));
     BOOST_LEAF_CHECK(listen(*m_metrics_server, m_settings.metrics));
-    if (!m_peer_server.start(m_settings.peers.host, m_settings.peers.port))
+    if (!m_peer_server.start(m_settings.peers.address, m_settings.peers.port))
         return leaf::new_error(sidecar_error::cannot_listen);
     m_configuration->start();
     m_node->start();
--- a/src/app/sidecar/sidecardaemon.h
+++ b/src/app/sidecar/sidecardaemon.h
@@ -41,7 +41,7 @@
     class announcement_port;
     class metrics_port;
 
-    leaf::result<void> listen(http1_server& server, const listen_address& address);
+    leaf::result<void> listen(http1_server& server, const network_endpoint& endpoint);
     std::optional<std::string> find_address(std::string_view node_name) const override;
     void on_snapshot(std::span<const store_entry> entries) override;
     void on_changes(std::span<const watch_event> events) override;
--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -75,12 +75,8 @@
                environment.configuration_confirmed),
       m_upstream(m_timers, [this](const tracked_upstream& upstream) { on_upstream_changed(upstream); })
 {
-    const member own{m_self,
-                     m_settings.service,
-                     m_settings.peers.host + ":" + std::to_string(m_settings.peers.port),
-                     m_settings.location,
-                     member_state::starting,
-                     0};
+    const member own{
+        m_self, m_settings.service, to_string(m_settings.peers), m_settings.location, member_state::starting, 0};
     registry_settings registry;
     registry.lease = std::max(registry.lease, m_settings.shortest_lease);
     m_registry = std::make_unique<store_registry>(registry, own, m_timers, environment.random,
--- a/src/app/sidecar/sidecarsettings.h
+++ b/src/app/sidecar/sidecarsettings.h
@@ -2,18 +2,13 @@
 
 #include "libs/base/identifiers.h"
 #include "libs/base/time.h"
+#include "libs/documents/endpoints.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <string>
 
 namespace mulberry {
 
-struct listen_address {
-    std::string host;
-    std::uint16_t port = 0;
-};
-
 /// What a daemon beside an upstream on a platform with a store of its own is told at its start.
 struct sidecar_settings {
     std::string node_name;
@@ -23,15 +18,15 @@
     /// "host:port" of the upstream.
     std::string upstream_address;
     /// Callers and the upstream's own calls.
-    listen_address callers;
+    network_endpoint callers;
     /// Other daemons.
-    listen_address peers;
+    network_endpoint peers;
     /// Whether this daemon takes callers.
-    listen_address readiness;
+    network_endpoint readiness;
     /// Announcements of the upstream.
-    listen_address announcements;
+    network_endpoint announcements;
     /// Counters; port 0 serves none.
-    listen_address metrics;
+    network_endpoint metrics;
     std::string store_address;
     duration shortest_lease{std::chrono::seconds(1)};
 
--- a/src/app/sidecar/sidecarsettingsfile.cpp
+++ b/src/app/sidecar/sidecarsettingsfile.cpp
@@ -2,7 +2,7 @@
 
 #include "libs/base/asyncerror.h"
 #include "libs/documents/checks.h"
-#include "libs/documents/endpoints.h"
+#include "libs/documents/endpointfield.h"
 #include "libs/documents/tablereader.h"
 
 namespace mulberry {
@@ -18,31 +18,18 @@
 
 constexpr std::size_t mebibyte = std::size_t{1} << 20U;
 
-std::string endpoint_fault(std::string_view text)
+field<settings> listen_field(std::string key, network_endpoint settings::*member, std::string meaning)
 {
-    return fmt::format("must have the form address:port, not \"{}\"", text);
-}
-
-field<settings> listen_field(std::string key, listen_address settings::*member, std::string meaning)
-{
-    return {{std::move(key), value_kind::text, "address:port", false, "", std::move(meaning)},
-            [member](settings& target, const field_value& value) {
-                const auto& text = std::get<std::string>(value);
-                const auto endpoint = parse_endpoint(text);
-                if (!endpoint)
-                    return endpoint_fault(text);
-                target.*member = {endpoint->address, endpoint->port};
-                return std::string();
-            }};
+    return detail::endpoint_field(std::move(key), "", member, std::move(meaning));
 }
 
 field<settings> address_field(std::string key, std::string settings::*member, std::string meaning)
 {
-    return {{std::move(key), value_kind::text, "address:port", false, "", std::move(meaning)},
+    return {{std::move(key), value_kind::text, std::string(detail::endpoint_unit), false, "", std::move(meaning)},
             [member](settings& target, const field_value& value) {
                 const auto& text = std::get<std::string>(value);
                 if (!parse_endpoint(text))
-                    return endpoint_fault(text);
+                    return detail::endpoint_fault(text);
                 target.*member = text;
                 return std::string();
             }};
--- a/src/libs/documents/daemonsettings.cpp
+++ b/src/libs/documents/daemonsettings.cpp
@@ -3,7 +3,7 @@
 #include "libs/base/asyncerror.h"
 #include "libs/base/textfile.h"
 #include "libs/documents/checks.h"
-#include "libs/documents/endpoints.h"
+#include "libs/documents/endpointfield.h"
 #include "libs/documents/tablereader.h"
 
 #include <algorithm>
@@ -21,29 +21,8 @@
 
 constexpr std::string_view command_line_name = "command line";
 constexpr std::string_view memory_store_name = "memory";
-constexpr std::string_view endpoint_unit = "address:port";
 constexpr std::uint64_t mebibyte = 1024ULL * 1024;
 
-std::string endpoint_fault(std::string_view text)
-{
-    return fmt::format("must have the form address:port, not \"{}\"", text);
-}
-
-detail::field<daemon_settings> listen_field(std::string key, std::string default_text,
-                                            network_endpoint daemon_settings::*member, std::string meaning)
-{
-    return {{std::move(key), detail::value_kind::text, std::string(endpoint_unit), false, std::move(default_text),
-             std::move(meaning)},
-            [member](daemon_settings& target, const detail::field_value& value) {
-                const auto& text = std::get<std::string>(value);
-                const auto endpoint = parse_endpoint(text);
-                if (!endpoint)
-                    return endpoint_fault(text);
-                target.*member = *endpoint;
-                return std::string();
-            }};
-}
-
 std::string set_seeds(daemon_settings& target, const detail::field_value& value)
 {
     for (const std::string& text : std::get<std::vector<std::string>>(value)) {
@@ -118,16 +97,16 @@
 void add_listen_fields(detail::field_table<daemon_settings>& fields)
 {
     using settings = daemon_settings;
-    fields.push_back(listen_field("callers_listen", "0.0.0.0:8600", &settings::callers_listen,
-                                  "Where callers connect. Port 0 of a listener lets the system choose."));
-    fields.push_back(listen_field("nested_listen", "127.0.0.1:8601", &settings::nested_listen,
-                                  "Where the upstream sends its nested calls."));
-    fields.push_back(listen_field("peers_listen", "", &settings::peers_listen,
-                                  "Where other daemons connect; without it the daemon has no peers."));
-    fields.push_back(listen_field("peers_advertised", "", &settings::peers_advertised,
-                                  "Where other daemons reach this one; `peers_listen` if it is not given."));
-    fields.push_back(listen_field("operators_listen", "", &settings::operators_listen,
-                                  "Where mulberryctl connects; without it the operators' API is off."));
+    fields.push_back(detail::endpoint_field("callers_listen", "0.0.0.0:8600", &settings::callers_listen,
+                                            "Where callers connect. Port 0 of a listener lets the system choose."));
+    fields.push_back(detail::endpoint_field("nested_listen", "127.0.0.1:8601", &settings::nested_listen,
+                                            "Where the upstream sends its nested calls."));
+    fields.push_back(detail::endpoint_field("peers_listen", "", &settings::peers_listen,
+                                            "Where other daemons connect; without it the daemon has no peers."));
+    fields.push_back(detail::endpoint_field("peers_advertised", "", &settings::peers_advertised,
+                                            "Where other daemons reach this one; `peers_listen` if it is not given."));
+    fields.push_back(detail::endpoint_field("operators_listen", "", &settings::operators_listen,
+                                            "Where mulberryctl connects; without it the operators' API is off."));
     fields.push_back(file_field("operator_credential_file", &settings::operator_credential_file,
                                 "File with the bearer credential of the operators' API. Required with "
                                 "`operators_listen`."));
--- a/src/libs/documents/daemonsettings.h
+++ b/src/libs/documents/daemonsettings.h
@@ -3,6 +3,7 @@
 #include "libs/base/log.h"
 #include "libs/base/time.h"
 #include "libs/documents/documenterrors.h"
+#include "libs/documents/endpoints.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -17,17 +18,6 @@
 
 namespace leaf = boost::leaf;
 
-/// An address with a port. Port 0 lets the system choose one for a listener.
-struct network_endpoint {
-    std::string address;
-    std::uint16_t port = 0;
-
-    auto operator<=>(const network_endpoint&) const = default;
-};
-
-/// "address:port", with brackets around an IPv6 address.
-std::string to_string(const network_endpoint& endpoint);
-
 /// Another daemon by name, because its certificate is checked for the name, and where its peer port is.
 struct daemon_seed {
     std::string node_name;
