--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -43,7 +43,7 @@
 
     void begin_drain() override
     {
-        m_owner.m_timers.schedule(guard_leaving_delay, [this] {
+        m_owner.m_leaving_timer = m_owner.m_timers.schedule(guard_leaving_delay, [this] {
             m_leaving = true;
             m_owner.m_guard->begin_leaving();
             m_owner.publish_state();
