Share the jitter of pauses and the test for requests that may be throttled

"0.5 to 1.5 times the interval" was computed in both throttles, the refusals and the store follower; jittered() in libs/base does it. The two load checks of the entry asked the same question in the same words. The random numbers are drawn in the same order as before.

--- a/src/libs/store/storefollower.cpp
+++ b/src/libs/store/storefollower.cpp
@@ -1,6 +1,7 @@
 #include "libs/store/storefollower.h"
 
 #include "libs/base/asyncerror.h"
+#include "libs/base/jitter.h"
 #include "libs/base/log.h"
 
 #include <algorithm>
@@ -76,7 +77,7 @@
 
 void store_follower::retry()
 {
-    const duration pause = from_seconds(to_seconds(m_pause) * (0.5 + m_random.unit()));
+    const duration pause = jittered(m_pause, m_random);
     m_pause = std::min(m_pause * 2, longest_pause);
     m_timers.cancel(m_retry_timer);
     m_retry_timer = m_timers.schedule(pause, [this] {
--- a/src/plugins/entry/entryload.cpp
+++ b/src/plugins/entry/entryload.cpp
@@ -12,15 +12,14 @@
 
 std::optional<refusal> entry_load::check(const entry_request& request)
 {
-    // Refusing a nested call would waste the work that its parent has done already.
-    if (request.parent != nullptr || request.is_upstream_call)
+    if (!request.may_be_throttled())
         return std::nullopt;
     return m_parts.throttle.check(request.service, request.level, request.organisation);
 }
 
 std::optional<refusal> entry_load::check_bottlenecks(const entry_request& request)
 {
-    if (m_parts.bottlenecks == nullptr || request.parent != nullptr || request.is_upstream_call)
+    if (m_parts.bottlenecks == nullptr || !request.may_be_throttled())
         return std::nullopt;
     return m_parts.bottlenecks->check(route_of(request), {request.level, request.matched.level});
 }
--- a/src/plugins/entry/entryrequest.h
+++ b/src/plugins/entry/entryrequest.h
@@ -29,6 +29,8 @@
 
     /// A call of the upstream beside this node that carries no context.
     bool is_upstream_call = false;
+    /// Refusing a call of an upstream for load would waste the work that its parent has done already.
+    bool may_be_throttled() const { return parent == nullptr && !is_upstream_call; }
     std::string service;
     std::string path;
     route matched;
--- a/src/plugins/entry/refusalwriter.cpp
+++ b/src/plugins/entry/refusalwriter.cpp
@@ -1,5 +1,6 @@
 #include "plugins/entry/refusalwriter.h"
 
+#include "libs/base/jitter.h"
 #include "plugins/entry/problemdocument.h"
 
 #include <algorithm>
@@ -33,7 +34,7 @@
     answer.headers.emplace_back("Content-Type", problem_content_type);
     if (answer.status == status_too_many_requests || answer.status == status_service_unavailable) {
         if (why.retry_after <= duration{0})
-            why.retry_after = jittered(m_settings.default_retry_after);
+            why.retry_after = jittered(m_settings.default_retry_after, m_random);
         answer.headers.emplace_back("Retry-After", retry_after_text(why.retry_after));
     }
     answer.body = problem_document(why, request_id);
@@ -60,9 +61,4 @@
     return fmt::to_string(std::chrono::ceil<std::chrono::seconds>(interval).count());
 }
 
-duration refusal_writer::jittered(duration interval)
-{
-    return from_seconds(to_seconds(interval) * (0.5 + m_random.unit()));
-}
-
 } // namespace mulberry::detail
--- a/src/plugins/entry/refusalwriter.h
+++ b/src/plugins/entry/refusalwriter.h
@@ -20,7 +20,6 @@
 private:
     int status_of(const refusal& why) const;
     std::string retry_after_text(duration interval) const;
-    duration jittered(duration interval);
 
     const entry_settings& m_settings;
     random_source& m_random;
--- a/src/plugins/throttle/bottleneckthrottle.cpp
+++ b/src/plugins/throttle/bottleneckthrottle.cpp
@@ -1,5 +1,6 @@
 #include "plugins/throttle/bottleneckthrottle.h"
 
+#include "libs/base/jitter.h"
 #include "libs/base/log.h"
 
 #include <algorithm>
@@ -118,8 +119,7 @@
     const double part = admitted_part(route, rank);
     if (part >= 1 || m_random.unit() < part)
         return std::nullopt;
-    const double jitter = 0.5 + m_random.unit();
-    return not_run(refusal_reason::entry_throttled, from_seconds(to_seconds(m_settings.retry_after) * jitter));
+    return not_run(refusal_reason::entry_throttled, jittered(m_settings.retry_after, m_random));
 }
 
 double bottleneck_throttle::admitted_part(std::string_view route, request_rank rank)
--- a/src/plugins/throttle/entrythrottle.cpp
+++ b/src/plugins/throttle/entrythrottle.cpp
@@ -1,5 +1,7 @@
 #include "plugins/throttle/entrythrottle.h"
 
+#include "libs/base/jitter.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -40,8 +42,7 @@
     const double part = admitted_part(service, level, organisation);
     if (part >= 1 || m_random.unit() < part)
         return std::nullopt;
-    const double jitter = 0.5 + m_random.unit();
-    return not_run(refusal_reason::entry_throttled, from_seconds(to_seconds(m_settings.retry_after) * jitter));
+    return not_run(refusal_reason::entry_throttled, jittered(m_settings.retry_after, m_random));
 }
 
 double entry_throttle::admitted_part(std::string_view service, importance level, std::string_view organisation)
