Bound what HTTP peers may send, and survive what ends a process

A backtrace of a trial build shows the parser of a client connection: the timeout of a request destroyed parser, buffer and request while a read that had already completed was still queued. They now live as long as the connection. Ruled out: the HTTP/2 connections and the listeners of the registry, which hold themselves or are held while their handlers run.

A response may take longer than its timeout while it makes progress (stall_timeout), for large entries of the store over a narrow link.

The test of the queued read passes on the code before as well: with its flags the destroyed parser still answers.

--- a/src/libs/eventloop/asiotimerservice.cpp
+++ b/src/libs/eventloop/asiotimerservice.cpp
@@ -56,16 +56,30 @@
 {
     const std::weak_ptr<int> alive = m_alive;
     m_running_callbacks = true;
-    // The limit is taken once, so that callbacks that schedule others without delay do not starve the loop's other
-    // work.
-    const time_point limit = now();
-    while (!m_queue.empty() && m_queue.begin()->first.first <= limit) {
+    try {
+        run_callbacks_until(now(), alive);
+    }
+    catch (...) {
+        // The callbacks that are still due run at the next expiry.
+        if (!alive.expired())
+            finish_callbacks();
+        throw;
+    }
+    if (!alive.expired())
+        finish_callbacks();
+}
+
+void asio_timer_service::run_callbacks_until(time_point limit, const std::weak_ptr<int>& alive)
+{
+    while (!alive.expired() && !m_queue.empty() && m_queue.begin()->first.first <= limit) {
         auto entry = m_queue.extract(m_queue.begin());
         m_due_times.erase(entry.key().second);
         entry.mapped()();
-        if (alive.expired())
-            return;
     }
+}
+
+void asio_timer_service::finish_callbacks()
+{
     m_running_callbacks = false;
     arm_timer();
 }
--- a/src/libs/eventloop/asiotimerservice.h
+++ b/src/libs/eventloop/asiotimerservice.h
@@ -29,6 +29,10 @@
 
     void arm_timer();
     void run_due_callbacks();
+    /// Runs the callbacks that are due at `limit`. The limit is fixed, so that callbacks that schedule others without
+    /// delay do not starve the loop's other work.
+    void run_callbacks_until(time_point limit, const std::weak_ptr<int>& alive);
+    void finish_callbacks();
 
     boost::asio::steady_timer m_timer;
     timer_id m_last_id = 0;
--- a/src/libs/eventloop/eventloop.h
+++ b/src/libs/eventloop/eventloop.h
@@ -19,7 +19,8 @@
     ~event_loop() = default;
 
     /// Runs callbacks on the calling thread until stop() is called. May be called again afterwards and then also runs
-    /// the tasks that were posted in between.
+    /// the tasks that were posted in between. An exception that leaves a callback is logged and ends only that
+    /// callback, because the other requests in progress do not depend on it.
     void run();
 
     /// Posts a task that makes run() return. May be called from any thread.
@@ -39,6 +40,9 @@
     boost::asio::io_context& context() { return m_context; }
 
 private:
+    /// Returns false if a callback ended with an exception.
+    bool run_until_exception();
+
     boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::atomic<std::thread::id> m_thread;
--- a/src/libs/eventloop/tcplistener.cpp
+++ b/src/libs/eventloop/tcplistener.cpp
@@ -38,7 +38,21 @@
         return m_acceptor.local_endpoint().port();
     }
 
-    void stop()
+    void accept_backlog()
+    {
+        if (!m_acceptor.is_open())
+            return;
+        error_code error;
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(m_acceptor.get_executor());
+            m_acceptor.accept(socket, error);
+            if (!error)
+                m_handler(std::move(socket));
+        }
+    }
+
+    void close()
     {
         error_code ignored;
         m_acceptor.close(ignored);
@@ -81,7 +95,7 @@
 
 tcp_listener::~tcp_listener()
 {
-    stop();
+    m_implementation->close();
 }
 
 std::uint16_t tcp_listener::start(std::string_view address, std::uint16_t port, error_code& error)
@@ -91,7 +105,8 @@
 
 void tcp_listener::stop()
 {
-    m_implementation->stop();
+    m_implementation->accept_backlog();
+    m_implementation->close();
 }
 
 } // namespace mulberry
--- a/src/libs/eventloop/tcplistener.h
+++ b/src/libs/eventloop/tcplistener.h
@@ -27,7 +27,9 @@
     /// Starts listening on a numeric address. Port 0 selects any free port. Returns the port in use, or 0 on failure
     /// and then sets the error.
     std::uint16_t start(std::string_view address, std::uint16_t port, boost::system::error_code& error);
-    /// Closes the listening socket. Connections that were already accepted stay open.
+    /// Passes the connections that are waiting to be accepted to the handler, because closing the listening socket
+    /// would reset them with the requests that they may have sent, and then closes the listening socket. Connections
+    /// that were already accepted stay open.
     void stop();
 
 private:
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -35,6 +35,10 @@
     http_headers headers;
     std::string body;
     duration timeout{std::chrono::seconds(10)};
+    /// If not 0, the timeout covers only the time until the response begins, and each further part of it may take this
+    /// long. A long response over a narrow link is then not cut off and requested again, which would fill the link.
+    /// Ignored by clients that cannot observe the progress of a response.
+    duration stall_timeout{0};
     /// Name of a request field that the server repeats in its response, or empty. A response with another value belongs
     /// to another request and is discarded.
     std::string echoed_field{};
--- a/src/libs/http1/http1client.cpp
+++ b/src/libs/http1/http1client.cpp
@@ -87,6 +87,16 @@
 
     void on_connected() override { ++m_connections_opened; }
 
+    bool reserve_body_bytes(std::size_t bytes) override
+    {
+        if (m_receiving_bytes + bytes > m_settings.max_receiving_bytes)
+            return false;
+        m_receiving_bytes += bytes;
+        return true;
+    }
+
+    void release_body_bytes(std::size_t bytes) override { m_receiving_bytes -= bytes; }
+
     std::uint64_t connections_opened() const { return m_connections_opened; }
 
 private:
@@ -131,6 +141,7 @@
     std::unordered_map<http_call_id, open_request> m_open_requests;
     std::map<std::string, connection_list, std::less<>> m_idle_connections;
     http_call_id m_last_id = 0;
+    std::size_t m_receiving_bytes = 0;
     std::uint64_t m_connections_opened = 0;
 };
 
--- a/src/libs/http1/http1client.h
+++ b/src/libs/http1/http1client.h
@@ -11,6 +11,9 @@
 
 struct http1_client_settings {
     std::size_t max_response_bytes = std::size_t{64} * 1024 * 1024;
+    /// Maximum total of the bodies that are being received at a time. A response that exceeds it fails as too_large, so
+    /// that servers whose responses never end cannot exhaust the memory of the process.
+    std::size_t max_receiving_bytes = std::size_t{256} * 1024 * 1024;
     /// Time limit for establishing a connection.
     duration connect_timeout{std::chrono::seconds(1)};
     /// An idle connection is closed after this time, or earlier if the server announces a shorter one: then after the
--- a/src/libs/http1/http1clientconnection.cpp
+++ b/src/libs/http1/http1clientconnection.cpp
@@ -17,7 +17,12 @@
 
 // Responses to other requests that are skipped before the connection is closed.
 constexpr int max_skipped_responses = 2;
+// Interim responses (1xx) of one request after which the connection is closed; a server may send them without end.
+constexpr int max_interim_responses = 8;
 constexpr unsigned first_final_status = 200;
+// Limit of the bytes that are read ahead of the parser. Chunk extensions and trailers count only here; everything else
+// has limits of its own.
+constexpr std::size_t max_buffered_bytes = std::size_t{128} * 1024;
 
 std::optional<tcp::endpoint> endpoint_of(std::string_view server)
 {
@@ -48,7 +53,7 @@
                                                  const http1_client_settings& settings,
                                                  std::weak_ptr<http1_client_connection_owner> owner, std::string server)
     : m_socket(context), m_timers(timers), m_settings(settings), m_owner(std::move(owner)), m_server(std::move(server)),
-      m_timer(context), m_idle_limit(settings.idle_timeout)
+      m_timer(context), m_buffer(max_buffered_bytes), m_idle_limit(settings.idle_timeout)
 {
 }
 
@@ -58,6 +63,7 @@
     m_request = std::move(request);
     m_request_sent = false;
     m_skipped_responses = 0;
+    m_interim_responses = 0;
     if (m_connected)
         return send_request();
     connect();
@@ -127,23 +133,62 @@
     m_parser->body_limit(m_settings.max_response_bytes);
     if (m_request.method == "HEAD")
         m_parser->skip(true);
-    http::async_read(m_socket, m_buffer, *m_parser,
-                     [self = shared_from_this(), id = m_id](const error_code& error, std::size_t) {
-                         if (!self->m_closed && self->m_id == id)
-                             self->on_read(error);
-                     });
+    release_reserved_bytes();
+    read_more();
+}
+
+void http1_client_connection::read_more()
+{
+    http::async_read_some(m_socket, m_buffer, *m_parser,
+                          [self = shared_from_this(), id = m_id](const error_code& error, std::size_t) {
+                              if (!self->m_closed && self->m_id == id)
+                                  self->on_read(error);
+                          });
 }
 
 void http1_client_connection::on_read(const error_code& error)
 {
-    if (error == http::error::body_limit)
+    if (!reserve_received_bytes())
+        return fail(http_error::too_large);
+    if (error || m_parser->is_done())
+        return on_message(error);
+    if (m_request.stall_timeout > duration{0})
+        start_timer(m_request.stall_timeout, http_error::timed_out);
+    read_more();
+}
+
+bool http1_client_connection::reserve_received_bytes()
+{
+    const std::size_t received = m_parser->get().body().size();
+    const auto owner = m_owner.lock();
+    if (!owner || received <= m_reserved_bytes)
+        return true;
+    if (!owner->reserve_body_bytes(received - m_reserved_bytes))
+        return false;
+    m_reserved_bytes = received;
+    return true;
+}
+
+void http1_client_connection::release_reserved_bytes()
+{
+    const auto owner = m_owner.lock();
+    if (owner && m_reserved_bytes > 0)
+        owner->release_body_bytes(std::exchange(m_reserved_bytes, 0));
+}
+
+void http1_client_connection::on_message(const error_code& error)
+{
+    if (error == http::error::body_limit || error == http::error::buffer_overflow)
         return fail(http_error::too_large);
     if (error) {
         const bool response_started = m_parser->is_header_done() || error == http::error::partial_message;
         return fail(response_started ? http_error::truncated : http_error::connection_lost);
     }
-    if (m_parser->get().result_int() < first_final_status)
+    if (m_parser->get().result_int() < first_final_status) {
+        if (++m_interim_responses > max_interim_responses)
+            return fail(http_error::connection_lost);
         return read();
+    }
     if (is_response_to_other_request()) {
         if (++m_skipped_responses > max_skipped_responses || !m_parser->keep_alive())
             return fail(http_error::connection_lost);
@@ -204,11 +249,17 @@
     const auto self = shared_from_this();
     const http_call_id id = std::exchange(m_id, 0);
     m_timer.cancel();
-    m_parser.reset();
-    m_wire_request.reset();
-    m_buffer = {};
-    if (!reusable)
+    release_reserved_bytes();
+    if (reusable) {
+        m_parser.reset();
+        m_wire_request.reset();
+        m_buffer.shrink_to_fit();
+    }
+    else {
+        // A read or write that has already completed may still be queued and uses the parser, the buffer and the
+        // request, so these live as long as the connection, which the queued handler holds.
         close();
+    }
     if (id == 0)
         return;
     if (const auto owner = m_owner.lock())
@@ -238,6 +289,7 @@
     if (m_closed)
         return;
     m_closed = true;
+    release_reserved_bytes();
     m_timer.cancel();
     error_code ignored;
     m_socket.close(ignored);
--- a/src/libs/http1/http1clientconnection.h
+++ b/src/libs/http1/http1clientconnection.h
@@ -32,6 +32,9 @@
     /// An idle connection was closed, by its time limit or by the server.
     virtual void on_idle_connection_closed(http1_client_connection& connection) = 0;
     virtual void on_connected() = 0;
+    /// Reserves memory for a part of a response body; returns false if max_receiving_bytes would be exceeded.
+    virtual bool reserve_body_bytes(std::size_t bytes) = 0;
+    virtual void release_body_bytes(std::size_t bytes) = 0;
 };
 
 /// A connection to one server with at most one request in progress.
@@ -61,7 +64,11 @@
     void connect();
     void send_request();
     void read();
+    void read_more();
     void on_read(const error_code& error);
+    void on_message(const error_code& error);
+    bool reserve_received_bytes();
+    void release_reserved_bytes();
     void on_response(bool ends_with_connection);
     void start_timer(duration limit, http_error reason);
     void fail(http_error error);
@@ -83,6 +90,8 @@
     time_point m_idle_since;
     duration m_idle_limit;
     int m_skipped_responses = 0;
+    int m_interim_responses = 0;
+    std::size_t m_reserved_bytes = 0;
     bool m_connected = false;
     bool m_request_sent = false;
     bool m_write_in_progress = false;
--- a/src/libs/http1/http1serverconnection.cpp
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::seconds linger_limit{1};
 // Added to the idle timeout that callers are given, so that a request rarely arrives just as the connection is closed.
 constexpr std::chrono::seconds idle_margin{2};
+// Bytes beyond the header limit that are read ahead of the parser, which also limits chunk extensions and trailers.
+constexpr std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_too_large = 413;
@@ -85,7 +87,7 @@
     m_parser.reset();
     if (m_buffer.size() > 0)
         return read_header();
-    m_buffer = {};
+    m_buffer.shrink_to_fit();
     m_is_idle = true;
     start_timer(owner->limits().idle_timeout + idle_margin);
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
@@ -103,6 +105,7 @@
     if (!owner)
         return close();
     const http1_limits& limits = owner->limits();
+    m_buffer.max_size(limits.max_header_bytes + max_read_ahead_bytes);
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     m_parser->body_limit(limits.max_body_bytes);
@@ -161,13 +164,37 @@
     if (m_parser->is_done())
         return dispatch_request();
     start_timer(owner->limits().transfer_timeout);
-    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code& error, std::size_t) {
-        if (self->m_closed)
-            return;
-        if (error)
-            return self->handle_read_error(error);
-        self->dispatch_request();
-    });
+    read_more_body();
+}
+
+void http1_server_connection::read_more_body()
+{
+    http::async_read_some(m_socket, m_buffer, *m_parser,
+                          [self = shared_from_this()](const error_code& error, std::size_t) {
+                              if (self->m_closed)
+                                  return;
+                              if (error == http::error::buffer_overflow)
+                                  return self->reject(status_bad_request);
+                              if (error)
+                                  return self->handle_read_error(error);
+                              if (!self->reserve_received_bytes())
+                                  return self->reject(status_unavailable);
+                              if (self->m_parser->is_done())
+                                  return self->dispatch_request();
+                              self->read_more_body();
+                          });
+}
+
+bool http1_server_connection::reserve_received_bytes()
+{
+    const std::size_t received = m_parser->get().body().size();
+    if (received <= m_reserved_bytes)
+        return true;
+    const auto owner = m_owner.lock();
+    if (!owner || !owner->reserve_body_bytes(received - m_reserved_bytes))
+        return false;
+    m_reserved_bytes = received;
+    return true;
 }
 
 http1_request http1_server_connection::take_request()
--- a/src/libs/http1/http1serverconnection.h
+++ b/src/libs/http1/http1serverconnection.h
@@ -54,6 +54,9 @@
     void handle_read_error(const error_code& error);
     void on_header();
     void read_body();
+    void read_more_body();
+    /// Reserves memory for what has been received of a body without an announced length.
+    bool reserve_received_bytes();
     void dispatch_request();
     void watch_for_close();
     void respond(http1_request_id id, http1_response response);
--- a/tests/auto/libs/eventloop/tst_eventloop.cpp
+++ b/tests/auto/libs/eventloop/tst_eventloop.cpp
@@ -1,6 +1,7 @@
 #include "libs/eventloop/asiotimerservice.h"
 #include "libs/eventloop/eventloop.h"
 
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -106,4 +107,18 @@
     BOOST_TEST(!ran);
 }
 
+// Guards against an exception in one callback that ends the process, or the timers that are due at the same time.
+BOOST_AUTO_TEST_CASE(an_exception_ends_only_its_callback)
+{
+    event_loop loop;
+    asio_timer_service timers(loop);
+    bool is_timer_run = false;
+    loop.post([] { throw std::runtime_error("posted"); });
+    timers.schedule(milliseconds(10), [] { throw std::runtime_error("timer"); });
+    timers.schedule(milliseconds(10), [&] { is_timer_run = true; });
+    timers.schedule(milliseconds(30), [&] { loop.stop(); });
+    loop.run();
+    BOOST_TEST(is_timer_run);
+}
+
 } // namespace mulberry
--- a/tests/auto/libs/http1/tst_http1client.cpp
+++ b/tests/auto/libs/http1/tst_http1client.cpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -34,6 +35,10 @@
     std::deque<std::string> script;
     std::vector<std::string> requests;
     int connections = 0;
+    /// Sent without end after a response from the script; empty to send nothing.
+    std::string endless;
+    std::size_t endless_bytes = 0;
+    bool closed_by_client = false;
 
 private:
     struct connection {
@@ -61,14 +66,27 @@
                                              return;
                                          peer->pending.append(peer->buffer.data(), count);
                                          if (peer->pending.find("\r\n\r\n") != std::string::npos)
-                                             respond(*peer);
+                                             respond(peer);
                                          if (peer->socket.is_open())
                                              read(peer);
                                      });
     }
 
-    void respond(connection& peer)
+    /// Sends the endless bytes again and again until the client has closed the connection.
+    void write_endlessly(const std::shared_ptr<connection>& peer)
     {
+        boost::asio::async_write(peer->socket, boost::asio::buffer(endless),
+                                 [this, peer](const boost::system::error_code& error, std::size_t count) {
+                                     endless_bytes += count;
+                                     closed_by_client = static_cast<bool>(error);
+                                     if (!error)
+                                         write_endlessly(peer);
+                                 });
+    }
+
+    void respond(const std::shared_ptr<connection>& shared_peer)
+    {
+        connection& peer = *shared_peer;
         requests.push_back(std::exchange(peer.pending, {}));
         if (script.empty())
             return;
@@ -79,6 +97,8 @@
         if (closes || resets)
             bytes.resize(bytes.size() - 5);
         boost::asio::write(peer.socket, boost::asio::buffer(bytes));
+        if (!endless.empty())
+            return write_endlessly(shared_peer);
         if (resets)
             peer.socket.set_option(boost::asio::socket_base::linger(true, 0));
         if (closes || resets)
@@ -201,6 +221,134 @@
     BOOST_TEST(outcome == to_string(http_error::not_sent));
 }
 
+// Guards against bytes without end, which exhaust the memory or the processor: each part of a response has a limit at
+// which the connection is closed, long before the timeout of the request.
+BOOST_FIXTURE_TEST_CASE(responses_without_end_are_cut_off, client_fixture)
+{
+    constexpr std::size_t max_bytes = std::size_t{16} * 1024 * 1024;
+    const std::string block(8192, 'a');
+    const std::vector<std::pair<std::string, std::string>> table{
+        {"HTTP/1.1 200 O", block},                                                                // status line
+        {"HTTP/1.1 200 OK\r\n", "X-Field: " + block.substr(0, 500) + "\r\n"},                     // header fields
+        {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},                       // interim responses
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", block},                     // chunk extension
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-T: " + block + "\r\n"}, // trailers
+        {"HTTP/1.1 200 OK\r\n\r\n", block},                                // body without a length
+        {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", block}, // long body
+    };
+    http1_client_settings settings;
+    settings.max_response_bytes = std::size_t{2} * 1024 * 1024;
+    http1_client limited_client(loop, timers, settings);
+    for (const auto& [begin, endless] : table) {
+        server.script = {begin};
+        server.endless = endless;
+        server.endless_bytes = 0;
+        server.closed_by_client = false;
+        http_request request;
+        request.method = "GET";
+        request.url = server.url("/p");
+        request.timeout = 60s;
+        bool failed = false;
+        limited_client.send(std::move(request), [&](const leaf::result<http_response>& result) { failed = !result; });
+        BOOST_TEST(run_until([&] { return failed && server.closed_by_client; }), begin);
+        BOOST_TEST(server.endless_bytes < max_bytes, begin);
+    }
+}
+
+// Guards against several endless bodies that together exhaust the memory, and against a limit that is not released.
+BOOST_FIXTURE_TEST_CASE(bodies_that_are_received_share_a_limit, client_fixture)
+{
+    http1_client_settings settings;
+    settings.max_receiving_bytes = std::size_t{1} * 1024 * 1024;
+    http1_client limited_client(loop, timers, settings);
+    const std::string begin = "HTTP/1.1 200 OK\r\n\r\n";
+    server.script = {begin, begin, begin, begin};
+    server.endless = std::string(8192, 'a');
+    int failures = 0;
+    for (int i = 0; i < 4; ++i) {
+        http_request request;
+        request.method = "GET";
+        request.url = server.url("/p");
+        request.timeout = 60s;
+        limited_client.send(std::move(request),
+                            [&](const leaf::result<http_response>& result) { failures += !result; });
+    }
+    BOOST_TEST(run_until([&] { return failures == 4; }));
+    server.endless.clear();
+    server.script = {valid_response};
+    bool succeeded = false;
+    http_request request;
+    request.method = "GET";
+    request.url = server.url("/p");
+    limited_client.send(std::move(request),
+                        [&](const leaf::result<http_response>& result) { succeeded = static_cast<bool>(result); });
+    BOOST_TEST(run_until([&] { return succeeded; }));
+}
+
+// Guards against a long response over a slow link that is cut off although it makes progress, and against one that
+// makes none and is awaited without end.
+BOOST_FIXTURE_TEST_CASE(a_response_may_take_longer_than_the_timeout_while_it_makes_progress, test_event_loop)
+{
+    for (const bool stalls : {false, true}) {
+        http1_client client(loop, timers);
+        tcp::acceptor acceptor(loop.context(), {boost::asio::ip::make_address("127.0.0.1"), 0});
+        http_request request;
+        request.method = "GET";
+        request.url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/p";
+        request.timeout = 300ms;
+        request.stall_timeout = 300ms;
+        std::string outcome;
+        client.send(std::move(request), [&](leaf::result<http_response> result) {
+            outcome =
+                result ? result->body : std::string(to_string(error_of(std::move(result), http_error::too_large)));
+        });
+        tcp::socket peer(loop.context());
+        const auto send = [&](const std::string& bytes) { boost::asio::write(peer, boost::asio::buffer(bytes)); };
+        timers.schedule(50ms, [&] {
+            acceptor.accept(peer);
+            send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+        });
+        for (int i = 1; i <= (stalls ? 2 : 4); ++i)
+            timers.schedule(50ms + i * 150ms, [&] { send("x"); });
+        BOOST_TEST(run_until([&] { return !outcome.empty(); }));
+        BOOST_TEST(outcome == (stalls ? to_string(http_error::timed_out) : "xxxx"));
+    }
+}
+
+// Guards against a use of the parser after its destruction, which ended the process: the timeout of a request fires
+// while a read and a write of its connection have both completed, so that one of them is still queued.
+BOOST_FIXTURE_TEST_CASE(a_timeout_beside_completed_transfers_is_harmless, test_event_loop)
+{
+    http1_client client(loop, timers);
+    tcp::acceptor acceptor(loop.context(), {boost::asio::ip::make_address("127.0.0.1"), 0});
+    http_request request;
+    request.method = "POST";
+    request.url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/p";
+    request.body = std::string(std::size_t{32} * 1024 * 1024, 'b');
+    request.timeout = 300ms;
+    bool failed = false;
+    client.send(std::move(request), [&](const leaf::result<http_response>& result) { failed = !result; });
+    tcp::socket peer(loop.context());
+    bool is_ready = false;
+    timers.schedule(100ms, [&] {
+        acceptor.accept(peer);
+        is_ready = true;
+    });
+    BOOST_TEST(run_until([&] { return is_ready; }));
+    timers.schedule(100ms, [&] {
+        // The client can now read a part of a response and write more of its request, and its timeout has passed.
+        std::vector<char> buffer(std::size_t{8} * 1024 * 1024);
+        boost::asio::read(peer, boost::asio::buffer(buffer.data(), std::size_t{2} * 1024 * 1024));
+        const std::string part = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nab";
+        boost::asio::write(peer, boost::asio::buffer(part));
+        std::this_thread::sleep_for(400ms);
+    });
+    BOOST_TEST(run_until([&] { return failed; }));
+    bool is_later = false;
+    timers.schedule(50ms, [&] { is_later = true; });
+    BOOST_TEST(run_until([&] { return is_later; }));
+}
+
 // Guards against reusing the connection of a cancelled request, and against calling its callback.
 BOOST_FIXTURE_TEST_CASE(cancelled_request_closes_its_connection, client_fixture)
 {
--- a/tests/auto/libs/http1/tst_http1server.cpp
+++ b/tests/auto/libs/http1/tst_http1server.cpp
@@ -184,4 +184,46 @@
     BOOST_TEST(client.received("body of /one"));
 }
 
+// Guards against bodies without an announced length that exceed the limit of buffered bodies, and against a limit that
+// is not released.
+BOOST_FIXTURE_TEST_CASE(chunked_bodies_count_towards_the_limit, server_fixture)
+{
+    const std::string head = "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string chunk = "1f4\r\n" + std::string(500, 'b') + "\r\n";
+    raw_client first(*this, port);
+    raw_client second(*this, port);
+    first.send(head + chunk);
+    bool is_later = false;
+    timers.schedule(std::chrono::milliseconds(100), [&] { is_later = true; });
+    BOOST_TEST(run_until([&] { return is_later; }));
+    second.send(head + chunk);
+    BOOST_TEST(second.received("HTTP/1.1 503"));
+    first.send("0\r\n\r\n");
+    BOOST_TEST(first.received("HTTP/1.1 200"));
+    raw_client third(*this, port);
+    third.send(head + chunk + "0\r\n\r\n");
+    BOOST_TEST(third.received("HTTP/1.1 200"));
+}
+
+// Guards against a request whose chunk extension never ends and fills the memory.
+BOOST_FIXTURE_TEST_CASE(chunk_extensions_without_end_are_refused, server_fixture)
+{
+    raw_client caller(*this, port);
+    caller.send("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;x=" + std::string(200000, 'e'));
+    BOOST_TEST(caller.received("HTTP/1.1 400"));
+    BOOST_TEST(handler.requests.empty());
+}
+
+// Guards against requests of connections that the system has accepted but the server has not: closing the listening
+// socket reset them without a response.
+BOOST_FIXTURE_TEST_CASE(finish_serves_the_backlog, server_fixture)
+{
+    raw_client caller(*this, port);
+    caller.send("GET /p HTTP/1.1\r\nHost: h\r\n\r\n");
+    // The loop has not run, so the server has not accepted the connection yet.
+    server.finish();
+    BOOST_TEST(caller.received("HTTP/1.1 200"));
+    BOOST_TEST(caller.received("Connection: close"));
+}
+
 } // namespace mulberry
