Retry registrations once at a time, and read the platform's records strictly

Found while reading, each with a test: - "download" was taken for a kind that may run only once; - an optional member of the configuration with a wrong type counted as missing, so that a priority given as text became the highest; - a page of the store with malformed items only was read again without end, or ended the read; - an instance name with invalid UTF-8 ended the process when it was published; - a failed write of the leave was not repeated; - an upstream that was leaving came back into service when its node restarted and a delayed announcement arrived: the entry now says that it is leaving; - an older copy of an entry replaced a newer one.

--- a/src/libs/store/keyvaluestore.h
+++ b/src/libs/store/keyvaluestore.h
@@ -42,6 +42,8 @@
 struct range_result {
     std::vector<store_entry> entries;
     std::int64_t revision = 0;
+    /// The entries are those of the store at the time of the request, or at most this time before it.
+    duration age{0};
 };
 
 /// Result of a conditional write. If the condition failed, `applied` is false and `current` is the store's entry, which
--- a/src/libs/store/storefollower.cpp
+++ b/src/libs/store/storefollower.cpp
@@ -54,9 +54,9 @@
         return schedule_retry();
     }
     m_retry_delay = initial_retry_delay;
-    m_snapshot_requested_at = request_time;
+    m_snapshot_requested_at = std::max(m_snapshot_requested_at, std::optional(request_time - result->age));
     const std::int64_t revision = result->revision;
-    m_listener.on_snapshot(result->entries);
+    m_listener.on_snapshot(result->entries, revision);
     watch(revision + 1);
 }
 
--- a/src/libs/store/storefollower.h
+++ b/src/libs/store/storefollower.h
@@ -18,8 +18,9 @@
     store_follower_listener& operator=(const store_follower_listener&) = delete;
     virtual ~store_follower_listener() = default;
 
-    /// Called with all entries that have the prefix. Earlier entries that are not among them have been deleted.
-    virtual void on_snapshot(std::span<const store_entry> entries) = 0;
+    /// Called with all entries that have the prefix, as of a revision of the store. Entries of earlier revisions that
+    /// are not among them have been deleted.
+    virtual void on_snapshot(std::span<const store_entry> entries, std::int64_t revision) = 0;
     virtual void on_changes(std::span<const watch_event> events) = 0;
 };
 
--- a/src/plugins/membership/member.h
+++ b/src/plugins/membership/member.h
@@ -25,10 +25,13 @@
     std::uint64_t once_epoch = 0;
 
     /// Instance, number of slots and start time (Unix time in milliseconds) of the upstream beside the node, so that a
-    /// restarted node has them at once. Empty and 0 if there is no upstream that accepts work.
+    /// restarted node has them at once. Empty and 0 if there is no upstream; 0 slots if it is leaving.
     std::string instance{};
     std::uint32_t slots = 0;
     std::int64_t instance_started_ms = 0;
+    /// Whether that upstream has announced that it is leaving. A restarted node must not put it back into service when
+    /// a delayed announcement arrives.
+    bool upstream_leaving = false;
 
     bool operator==(const member&) const = default;
 };
--- a/src/plugins/registry/registryentry.cpp
+++ b/src/plugins/registry/registryentry.cpp
@@ -36,8 +36,9 @@
                           {"state", static_cast<unsigned>(node.state)},
                           {"instance", node.instance},
                           {"slots", node.slots},
-                          {"born", node.instance_started_ms}}
-        .dump();
+                          {"born", node.instance_started_ms},
+                          {"upstream_leaving", node.upstream_leaving ? 1 : 0}}
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::optional<member> decode_registry_entry(std::string_view name, std::string_view value)
@@ -63,6 +64,7 @@
     node.instance = field<std::string>(object, "instance").value_or(std::string());
     node.slots = field<unsigned>(object, "slots").value_or(0);
     node.instance_started_ms = field<std::int64_t>(object, "born").value_or(0);
+    node.upstream_leaving = field<unsigned>(object, "upstream_leaving").value_or(0) != 0;
     return node;
 }
 
--- a/src/plugins/registry/storeregistry.cpp
+++ b/src/plugins/registry/storeregistry.cpp
@@ -16,8 +16,12 @@
 constexpr std::string_view log_part = "registry";
 /// Interval at which nodes with expired entries are removed.
 constexpr duration absence_check_period = std::chrono::milliseconds(500);
-/// Delay before a failed publication, lease request or lease renewal is repeated.
-constexpr duration retry_delay = std::chrono::milliseconds(300);
+/// Delay before a failed publication, lease request or lease renewal is repeated. It doubles with each failure up to
+/// the maximum, which leaves time to publish the entry within two seconds of the store's return.
+constexpr duration initial_retry_delay = std::chrono::milliseconds(300);
+constexpr duration max_retry_delay = std::chrono::milliseconds(1000);
+/// Time for which a removed node is remembered, so that an outdated copy of its entry is recognised.
+constexpr duration dead_node_retention = std::chrono::minutes(10);
 constexpr std::string_view members_prefix = "members/";
 constexpr std::string_view secret_key = "secret";
 
@@ -26,11 +30,16 @@
 store_registry::store_registry(registry_settings settings, member self, timer_service& timers, random_source& random,
                                random_source& secure_random, key_value_store& store)
     : m_settings(std::move(settings)), m_self(std::move(self)), m_timers(timers), m_secure_random(secure_random),
-      m_store(store), m_follower(timers, random, store, m_settings.prefix, *this)
+      m_store(store), m_follower(timers, random, store, m_settings.prefix, *this),
+      m_lease_retry_delay(initial_retry_delay), m_publish_retry_delay(initial_retry_delay)
 {
 }
 
-store_registry::~store_registry() = default;
+store_registry::~store_registry()
+{
+    m_timers.cancel(m_lease_retry_timer);
+    m_timers.cancel(m_publish_retry_timer);
+}
 
 void store_registry::start()
 {
@@ -49,10 +58,11 @@
     next.instance = state.instance;
     next.slots = state.slots;
     next.instance_started_ms = state.instance_started_ms;
+    next.upstream_leaving = state.upstream_leaving;
     if (next == m_self)
         return;
     m_self = std::move(next);
-    m_nodes[m_self.id.name] = {m_self, std::nullopt};
+    m_nodes[m_self.id.name] = {m_self, m_own_revision, std::nullopt};
     rebuild_members();
     notify(m_self);
     publish();
@@ -89,7 +99,7 @@
     std::erase(m_listeners, &listener);
 }
 
-void store_registry::on_snapshot(std::span<const store_entry> entries)
+void store_registry::on_snapshot(std::span<const store_entry> entries, std::int64_t revision)
 {
     std::set<std::string, std::less<>> present;
     for (const store_entry& entry : entries) {
@@ -100,7 +110,7 @@
     }
     for (const auto& [name, known] : m_nodes) {
         if (!present.contains(name))
-            mark_absent(name);
+            mark_absent(name, revision);
     }
     m_has_joined = true;
     if (m_secret.empty())
@@ -118,7 +128,7 @@
         }
         const std::string_view name = std::string_view(event.entry.key).substr(m_settings.prefix.size());
         if (name.starts_with(members_prefix))
-            mark_absent(name.substr(members_prefix.size()));
+            mark_absent(name.substr(members_prefix.size()), event.entry.mod_revision);
     }
     rebuild_members();
     notify(m_self);
@@ -138,6 +148,8 @@
         return;
     }
     if (node_name == m_self.id.name) {
+        if (entry.mod_revision < m_own_revision)
+            return;
         m_own_revision = entry.mod_revision;
         if (decoded->id.incarnation != m_self.id.incarnation && m_on_earlier_run)
             std::exchange(m_on_earlier_run, nullptr)(*decoded);
@@ -146,41 +158,47 @@
         return;
     }
     const auto known = m_nodes.find(node_name);
+    if (known != m_nodes.end() && known->second.revision > entry.mod_revision)
+        return;
     if (known == m_nodes.end() || known->second.node != *decoded) {
         log_info(log_part, "Node {} of {} is {} (incarnation {}, revision {}).", node_name, decoded->service,
                  to_string(decoded->state), decoded->id.incarnation, entry.mod_revision);
     }
-    m_nodes[std::string(node_name)] = {std::move(*decoded), std::nullopt};
+    m_nodes[std::string(node_name)] = {std::move(*decoded), entry.mod_revision, std::nullopt};
 }
 
-void store_registry::mark_absent(std::string_view name)
+void store_registry::mark_absent(std::string_view name, std::int64_t revision)
 {
     if (name == m_self.id.name) {
+        if (revision < m_own_revision)
+            return;
         m_own_revision = 0;
         publish();
         return;
     }
     const auto it = m_nodes.find(name);
-    if (it != m_nodes.end() && !it->second.absent_since)
-        it->second.absent_since = m_timers.now();
+    if (it == m_nodes.end() || it->second.revision > revision || it->second.absent_since)
+        return;
+    it->second.revision = revision;
+    it->second.absent_since = m_timers.now();
 }
 
 void store_registry::remove_absent_nodes()
 {
     if (!m_has_left && (m_own_revision == 0 || m_lease == 0))
         publish();
+    forget_dead_nodes();
     // Without a watch, the entry may be back in the store without this node being notified.
     if (!m_follower.is_watching())
         return;
     std::vector<member> removed;
-    for (const auto& [name, known] : m_nodes) {
-        if (known.absent_since && m_timers.now() - *known.absent_since > m_settings.absence_grace)
-            removed.push_back(known.node);
-    }
-    for (member& node : removed) {
-        log_info(log_part, "Node {} is removed: its entry has expired.", node.id.name);
-        m_nodes.erase(node.id.name);
-        node.state = member_state::dead;
+    for (auto& [name, known] : m_nodes) {
+        const bool is_expired = known.absent_since && m_timers.now() - *known.absent_since > m_settings.absence_grace;
+        if (!is_expired || known.node.state == member_state::dead)
+            continue;
+        log_info(log_part, "Node {} is removed: its entry has expired.", name);
+        known.node.state = member_state::dead;
+        removed.push_back(known.node);
     }
     if (removed.empty())
         return;
@@ -189,6 +207,15 @@
         notify(node);
 }
 
+void store_registry::forget_dead_nodes()
+{
+    std::erase_if(m_nodes, [this](const auto& entry) {
+        const known_node& known = entry.second;
+        return known.absent_since && known.node.state == member_state::dead &&
+               m_timers.now() - *known.absent_since > dead_node_retention;
+    });
+}
+
 void store_registry::rebuild_members()
 {
     m_members.clear();
@@ -232,7 +259,7 @@
 
 void store_registry::request_lease()
 {
-    if (m_is_requesting_lease || m_has_left)
+    if (m_is_requesting_lease || m_lease_retry_timer != 0 || m_has_left)
         return;
     m_is_requesting_lease = true;
     m_store.grant_lease(m_settings.lease, [this, alive = std::weak_ptr<int>(m_alive)](leaf::result<lease_id> result) {
@@ -242,12 +269,9 @@
         if (!result) {
             log_warning(log_part, "The lease was not granted: {}.",
                         to_string(error_of(std::move(result), store_error::unavailable)));
-            m_timers.schedule(retry_delay, [this, alive] {
-                if (!alive.expired() && m_lease == 0)
-                    request_lease();
-            });
-            return;
+            return schedule_lease_retry();
         }
+        m_lease_retry_delay = initial_retry_delay;
         m_lease = *result;
         publish();
     });
@@ -257,22 +281,39 @@
 {
     if (m_lease == 0)
         return request_lease();
+    if (m_is_renewing_lease || m_lease_retry_timer != 0)
+        return;
+    m_is_renewing_lease = true;
     m_store.keep_alive(m_lease, [this, alive = std::weak_ptr<int>(m_alive)](leaf::result<void> result) {
-        if (alive.expired() || result)
+        if (alive.expired())
             return;
-        const store_error error = error_of(std::move(result), store_error::unavailable);
-        log_warning(log_part, "The lease was not renewed: {}.", to_string(error));
-        if (error == store_error::no_such_lease) {
-            m_lease = 0;
-            return request_lease();
-        }
-        m_timers.schedule(retry_delay, [this, alive] {
-            if (!alive.expired())
-                renew_lease();
-        });
+        m_is_renewing_lease = false;
+        if (!result)
+            return on_renewal_failed(error_of(std::move(result), store_error::unavailable));
+        m_lease_retry_delay = initial_retry_delay;
     });
 }
 
+void store_registry::on_renewal_failed(store_error error)
+{
+    log_warning(log_part, "The lease was not renewed: {}.", to_string(error));
+    if (error != store_error::no_such_lease)
+        return schedule_lease_retry();
+    m_lease = 0;
+    request_lease();
+}
+
+void store_registry::schedule_lease_retry()
+{
+    if (m_lease_retry_timer != 0)
+        return;
+    m_lease_retry_timer = m_timers.schedule(m_lease_retry_delay, [this] {
+        m_lease_retry_timer = 0;
+        renew_lease();
+    });
+    m_lease_retry_delay = std::min(m_lease_retry_delay * 2, max_retry_delay);
+}
+
 void store_registry::publish()
 {
     if (m_lease == 0)
@@ -281,6 +322,8 @@
         m_publish_again = true;
         return;
     }
+    if (m_publish_retry_timer != 0)
+        return;
     m_is_publishing = true;
     m_store.put_if(own_key(), m_own_revision, encode_registry_entry(m_self), m_lease,
                    [this, alive = std::weak_ptr<int>(m_alive)](leaf::result<put_result> result) {
@@ -303,6 +346,7 @@
         m_own_revision = result->current ? result->current->mod_revision : 0;
         return schedule_publish_retry();
     }
+    m_publish_retry_delay = initial_retry_delay;
     m_own_revision = std::max(m_own_revision, result->revision);
     if (again)
         publish();
@@ -310,10 +354,13 @@
 
 void store_registry::schedule_publish_retry()
 {
-    m_timers.schedule(retry_delay, [this, alive = std::weak_ptr<int>(m_alive)] {
-        if (!alive.expired() && !m_has_left)
-            publish();
+    if (m_publish_retry_timer != 0)
+        return;
+    m_publish_retry_timer = m_timers.schedule(m_publish_retry_delay, [this] {
+        m_publish_retry_timer = 0;
+        publish();
     });
+    m_publish_retry_delay = std::min(m_publish_retry_delay * 2, max_retry_delay);
 }
 
 } // namespace mulberry
--- a/src/plugins/registry/storeregistry.h
+++ b/src/plugins/registry/storeregistry.h
@@ -37,8 +37,8 @@
     void set_own_record(const member& state);
     /// Sets a callback that is called once with the entry of an earlier run with this name, if the store still has it.
     void on_earlier_run(std::function<void(const member&)> callback) { m_on_earlier_run = std::move(callback); }
-    /// Publishes the state dead, so that the other nodes remove this node at once. Afterwards no new lease is requested
-    /// and a failed write is not retried after a delay.
+    /// Publishes the state dead, so that the other nodes remove this node at once. Afterwards no new lease is
+    /// requested.
     void leave();
 
     /// True once the entries of the nodes have been read from the store.
@@ -57,23 +57,29 @@
 private:
     struct known_node {
         member node;
+        /// Revision of the last change of the entry. Older changes are ignored: after a change of the source of the
+        /// entries, an outdated copy would bring back a node that has left.
+        std::int64_t revision = 0;
         /// Time since which the entry has been absent from the store; empty while it is present.
         std::optional<time_point> absent_since;
     };
 
-    void on_snapshot(std::span<const store_entry> entries) override;
+    void on_snapshot(std::span<const store_entry> entries, std::int64_t revision) override;
     void on_changes(std::span<const watch_event> events) override;
 
     void apply(const store_entry& entry);
-    void mark_absent(std::string_view name);
+    void mark_absent(std::string_view name, std::int64_t revision);
     void remove_absent_nodes();
+    void forget_dead_nodes();
     void rebuild_members();
     void notify(const member& changed);
     void create_secret();
     void set_secret(const std::string& value);
 
     void renew_lease();
+    void on_renewal_failed(store_error error);
     void request_lease();
+    void schedule_lease_retry();
     void publish();
     void on_published(leaf::result<put_result> result);
     void schedule_publish_retry();
@@ -98,6 +104,12 @@
     bool m_is_publishing = false;
     bool m_publish_again = false;
     bool m_is_requesting_lease = false;
+    bool m_is_renewing_lease = false;
+    // At most one pending retry each: during an outage of the store every failed call would otherwise add one more.
+    timer_id m_lease_retry_timer = 0;
+    timer_id m_publish_retry_timer = 0;
+    duration m_lease_retry_delay;
+    duration m_publish_retry_delay;
     std::unique_ptr<periodic_timer> m_renewal_timer;
     std::unique_ptr<periodic_timer> m_absence_timer;
     std::shared_ptr<int> m_alive = std::make_shared<int>();
--- a/src/plugins/upstream/upstreamtracker.cpp
+++ b/src/plugins/upstream/upstreamtracker.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::string_view log_part = "upstream";
+// The time of the announcement is not known after a restart of this node. It is taken to be so long ago that no grace
+// period applies.
+constexpr duration restored_leaving_age = std::chrono::hours(1);
 
 } // namespace
 
@@ -55,10 +58,23 @@
 void upstream_tracker::restore(upstream_report report)
 {
     if (m_current)
-        return;
+        return restore_leaving(report);
     log_info(log_part, "Restored upstream {} of service {} with {} slots from an earlier run of this node.",
              report.instance, report.service, report.slots);
     m_current = tracked_upstream{std::move(report), std::nullopt, m_timers.now()};
+    if (m_current->last_report.leaving)
+        m_current->leaving_since = m_timers.now() - restored_leaving_age;
+    m_on_changed(*m_current);
+}
+
+void upstream_tracker::restore_leaving(const upstream_report& report)
+{
+    const upstream_report& last = m_current->last_report;
+    const bool same_run = last.instance == report.instance && last.born_ms == report.born_ms;
+    if (!report.leaving || !same_run || m_current->leaving_since)
+        return;
+    log_info(log_part, "Upstream {} was leaving according to an earlier run of this node.", report.instance);
+    m_current->leaving_since = m_timers.now() - restored_leaving_age;
     m_on_changed(*m_current);
 }
 
--- a/src/plugins/upstream/upstreamtracker.h
+++ b/src/plugins/upstream/upstreamtracker.h
@@ -44,8 +44,8 @@
     /// Processes a report. Returns false if it is not newer than the current state; the receipt may be acknowledged to
     /// the sender in either case.
     bool report(upstream_report report);
-    /// Restores the state recorded by an earlier run of this node, unless a report has been received. Any newer report
-    /// replaces it.
+    /// Restores the state recorded by an earlier run of this node. Of an upstream that has reported meanwhile, only the
+    /// fact that it is leaving is restored, which is final within a run.
     void restore(upstream_report report);
     /// Marks the upstream as leaving. Ignored if the instance or run is not the current one.
     void deregister(const std::string& instance, std::optional<std::int64_t> born_ms);
@@ -53,6 +53,7 @@
     const std::optional<tracked_upstream>& current() const { return m_current; }
 
 private:
+    void restore_leaving(const upstream_report& report);
     bool is_newer(const upstream_report& report) const;
 
     const timer_service& m_timers;
--- a/tests/auto/platform/tst_kvstore.cpp
+++ b/tests/auto/platform/tst_kvstore.cpp
@@ -61,7 +61,7 @@
         kv_store_settings settings;
         settings.base_url = "http://s:1";
         settings.short_wait_prefix = "fresh";
-        settings.short_poll_wait = 1200ms;
+        settings.short_watch = {1200ms, 1200ms, duration{0}};
         return settings;
     }
 
@@ -125,6 +125,32 @@
     BOOST_TEST(http.urls[1] == "http://s:1/-/kv-range?path_prefix=p/&after=p/a");
 }
 
+// Guards against a read without end: a page whose items are all malformed has no valid last entry, and the same page
+// was read again and again.
+BOOST_FIXTURE_TEST_CASE(a_page_of_malformed_items_is_passed_over, store_fixture)
+{
+    add_response(200, R"({"items":[{"key":"p/a","value":7}],"truncated":true,"store_revision":10})");
+    add_response(200, R"({"items":[{"key":"p/b","value":"eQ==","revision":9}],"truncated":false,"store_revision":10})");
+    std::size_t entries = 0;
+    store.range("p/", [&](leaf::result<range_result> result) { entries = result->entries.size(); });
+    timers.advance(1s);
+    BOOST_TEST(entries == 1U);
+    BOOST_TEST(http.urls.size() == 2U);
+    BOOST_TEST(http.urls[1] == "http://s:1/-/kv-range?path_prefix=p/&after=p/a");
+}
+
+// Guards against the same read without end when not even a key can be read.
+BOOST_FIXTURE_TEST_CASE(a_page_without_a_key_to_continue_from_is_an_error, store_fixture)
+{
+    for (int i = 0; i < 5; ++i)
+        add_response(200, R"({"items":[7],"truncated":true,"store_revision":10})");
+    bool failed = false;
+    store.range("p/", [&](leaf::result<range_result> result) { failed = !result; });
+    timers.advance(1s);
+    BOOST_TEST(failed);
+    BOOST_TEST(http.urls.size() == 1U);
+}
+
 // Guards against changes that are missed when a poll fails and is repeated.
 BOOST_FIXTURE_TEST_CASE(a_failed_poll_is_repeated_from_the_same_revision, store_fixture)
 {
--- a/tests/auto/platform/tst_platformcodecs.cpp
+++ b/tests/auto/platform/tst_platformcodecs.cpp
@@ -60,6 +60,22 @@
     BOOST_TEST(!configuration.organisations[1].level.has_value());
 }
 
+// Guards against downloads that are never repeated: the kind was taken for one that may run only once.
+BOOST_AUTO_TEST_CASE(downloads_are_idempotent)
+{
+    const auto decoded = decode_configuration(replace_first(configuration_text, "\"idempotent\"", "\"download\""));
+    BOOST_TEST(std::get<host_configuration>(decoded).routes[0].idempotent);
+}
+
+// Guards against an instance name that cannot be sent as a header field or stored as JSON.
+BOOST_AUTO_TEST_CASE(instance_names_are_visible_ascii)
+{
+    BOOST_TEST(is_instance_name("i-7f3a91c2"));
+    for (const std::string& name : {std::string(), std::string("i-\xff"), std::string("i 1"), std::string("i\r\n1"),
+                                    std::string("i\0", 2), std::string(201, 'i')})
+        BOOST_TEST(!is_instance_name(name));
+}
+
 // Guards against a configuration that is applied in part: a route or key that cannot be decoded would be missing.
 BOOST_AUTO_TEST_CASE(a_configuration_with_an_error_is_rejected)
 {
@@ -71,6 +87,11 @@
              {"\"k1\"", "17"},
              {"\"hostname\":\"h.example\",", ""},
              {"\"service\":\"s3\",", ""},
+             {"\"priority\":0", "\"priority\":\"3\""},
+             {"\"max_attempts\":1", "\"max_attempts\":\"1\""},
+             {"\"public\":true", "\"public\":1"},
+             {"\"rate_per_s\":151", "\"rate_per_s\":\"151\""},
+             {"\"burst\":150.5", "\"burst\":[]"},
          }) {
         const auto decoded = decode_configuration(replace_first(configuration_text, from, to));
         BOOST_TEST(std::holds_alternative<std::string>(decoded), from << " to " << to);
--- a/tests/auto/plugins/registry/tst_storeregistry.cpp
+++ b/tests/auto/plugins/registry/tst_storeregistry.cpp
@@ -125,6 +125,42 @@
     BOOST_TEST(first_lists_second(member_state::serving));
 }
 
+// Guards against retries that multiply during an outage: each failed renewal and publication started a further series
+// of retries, and all calls to the store are billed.
+BOOST_FIXTURE_TEST_CASE(calls_during_an_outage_do_not_multiply, registry_fixture)
+{
+    constexpr int outage_s = 60;
+    // One lease call, one write and one read of the entries per second, with a margin for the first, shorter delays.
+    constexpr std::uint64_t max_calls = 4 * outage_s;
+    store_faults faults;
+    faults.down = true;
+    second->store.set_faults(faults);
+    const std::uint64_t calls_before = second->store.calls();
+    timers.advance(std::chrono::seconds(outage_s));
+    BOOST_TEST(second->store.calls() - calls_before <= max_calls);
+}
+
+// Guards against a node that leaves but stays listed because the write of its state failed once.
+BOOST_FIXTURE_TEST_CASE(a_failed_write_of_the_leave_is_repeated, registry_fixture)
+{
+    store_faults faults;
+    faults.down = true;
+    second->store.set_faults(faults);
+    second->registry.leave();
+    timers.advance(100ms);
+    second->store.set_faults({});
+    timers.advance(1s);
+    BOOST_TEST(first->registry.find("node-2") == nullptr);
+}
+
+// Guards against a process that ends with an exception because a name in the entry is not valid UTF-8.
+BOOST_AUTO_TEST_CASE(an_entry_with_invalid_utf8_is_encoded)
+{
+    member node = make_member("node-9", 1);
+    node.instance = "i-\xff\xfe";
+    BOOST_TEST(decode_registry_entry("node-9", encode_registry_entry(node)).has_value());
+}
+
 // Guards against an own entry that is not updated after writes that took effect but whose responses were lost.
 BOOST_FIXTURE_TEST_CASE(entry_is_updated_after_lost_responses_to_writes, registry_fixture)
 {
--- a/tests/auto/plugins/upstream/tst_upstreamtracker.cpp
+++ b/tests/auto/plugins/upstream/tst_upstreamtracker.cpp
@@ -84,4 +84,20 @@
     BOOST_TEST(tracker.current()->leaving_since.has_value());
 }
 
+// Guards against an upstream that has left and is in use again after a restart of its node: a delayed announcement from
+// before its leave arrives after or before the entry of the earlier run.
+BOOST_FIXTURE_TEST_CASE(a_restored_leave_is_final, tracker_fixture)
+{
+    tracker.restore(report("i-1", 100, 0, true));
+    tracker.report(report("i-1", 100, 5));
+    BOOST_TEST(tracker.current()->leaving_since.has_value());
+    upstream_tracker late(timers, [](const tracked_upstream&) {});
+    late.report(report("i-1", 100, 5));
+    late.restore(report("i-1", 100, 0, true));
+    BOOST_TEST(late.current()->leaving_since.has_value());
+    // A later run of the upstream is in service.
+    late.report(report("i-2", 200, 1));
+    BOOST_TEST(!late.current()->leaving_since.has_value());
+}
+
 } // namespace mulberry
