Prefetch whole tokens only, and decode quota messages without recursion

Cause of wrongful refusals on large fleets: the demand of 0.4 s was rounded up to a whole token. With a few requests a second spread over 98 nodes most requests took two tokens, of which one expired.

CBOR is decoded by recursion, so a message of nested arrays from one peer exhausts the stack and ends the process. The messages are in Protobuf now, like those of the calls.

Requests that wait for a token are admitted when the limit is removed.

--- a/src/plugins/quota/localquota.cpp
+++ b/src/plugins/quota/localquota.cpp
@@ -62,8 +62,10 @@
 
 std::uint32_t local_quota::tokens_to_request(time_point now) const
 {
+    // Rounded down: a node with few requests of an organisation would otherwise hold a token that expires unused for
+    // nearly each request, which wastes most of the rate when the requests are spread over many nodes.
     const double prefetched_demand = demand(now) * to_seconds(m_settings.prefetch_time);
-    const auto target = static_cast<std::uint32_t>(std::ceil(std::min(prefetched_demand, m_limit.rate))) +
+    const auto target = static_cast<std::uint32_t>(std::floor(std::min(prefetched_demand, m_limit.rate))) +
                         static_cast<std::uint32_t>(waiters.size());
     return target > m_tokens ? target - m_tokens : 0;
 }
--- a/src/plugins/quota/quotamessages.cpp
+++ b/src/plugins/quota/quotamessages.cpp
@@ -1,57 +1,48 @@
 #include "plugins/quota/quotamessages.h"
 
-#include <nlohmann/json.hpp>
+#include "plugins/quota/messages.pb.h"
+
+#include <climits>
+#include <utility>
 
 namespace mulberry {
 
 namespace {
 
-using nlohmann::json;
-
-// A message is the CBOR array [kind, sequence, [[organisation, tokens], ...]].
-constexpr std::size_t field_count = 3;
-
 std::string encode(quota_message_kind kind, std::uint64_t sequence, const std::vector<quota_amount>& amounts)
 {
-    json list = json::array();
-    for (const quota_amount& amount : amounts)
-        list.push_back(json::array({amount.organisation, amount.tokens}));
-    const json message = json::array({static_cast<unsigned>(kind), sequence, std::move(list)});
-    std::string bytes;
-    json::to_cbor(message, bytes);
-    return bytes;
+    quota::proto::quota_message message;
+    message.set_kind(static_cast<std::uint32_t>(kind));
+    message.set_sequence(sequence);
+    for (const quota_amount& amount : amounts) {
+        auto* added = message.add_amounts();
+        added->set_organisation(amount.organisation);
+        added->set_tokens(amount.tokens);
+    }
+    message.set_amount_count(static_cast<std::uint32_t>(amounts.size()) + 1);
+    return message.SerializeAsString();
 }
 
-std::optional<json> parse(std::string_view payload)
+std::optional<quota::proto::quota_message> parse(std::string_view payload)
 {
-    json message = json::from_cbor(payload.begin(), payload.end(), true, false);
-    if (!message.is_array() || message.size() != field_count || !message[0].is_number_unsigned() ||
-        !message[1].is_number_unsigned() || !message[2].is_array())
+    quota::proto::quota_message message;
+    if (payload.size() > INT_MAX || !message.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
+        return std::nullopt;
+    if (message.amount_count() != static_cast<std::uint32_t>(message.amounts_size()) + 1)
         return std::nullopt;
     return message;
 }
 
-std::optional<std::vector<quota_amount>> parse_amounts(const json& list)
-{
-    std::vector<quota_amount> amounts;
-    for (const json& row : list) {
-        if (!row.is_array() || row.size() != 2 || !row[0].is_string() || !row[1].is_number_unsigned())
-            return std::nullopt;
-        amounts.push_back({row[0].get<std::string>(), row[1].get<std::uint32_t>()});
-    }
-    return amounts;
-}
-
 template <typename Message>
 std::optional<Message> decode(std::string_view payload, quota_message_kind kind)
 {
-    const auto message = parse(payload);
-    if (!message || (*message)[0] != static_cast<unsigned>(kind))
-        return std::nullopt;
-    auto amounts = parse_amounts((*message)[2]);
-    if (!amounts)
+    auto message = parse(payload);
+    if (!message || message->kind() != static_cast<std::uint32_t>(kind))
         return std::nullopt;
-    return Message{(*message)[1].get<std::uint64_t>(), std::move(*amounts)};
+    std::vector<quota_amount> amounts;
+    for (auto& amount : *message->mutable_amounts())
+        amounts.push_back({std::move(*amount.mutable_organisation()), amount.tokens()});
+    return Message{message->sequence(), std::move(amounts)};
 }
 
 } // namespace
@@ -71,7 +62,7 @@
     const auto message = parse(payload);
     if (!message)
         return std::nullopt;
-    const auto kind = static_cast<quota_message_kind>((*message)[0].get<unsigned>());
+    const auto kind = static_cast<quota_message_kind>(message->kind());
     if (kind != quota_message_kind::report && kind != quota_message_kind::grant)
         return std::nullopt;
     return kind;
--- a/src/plugins/quota/quotaservice.cpp
+++ b/src/plugins/quota/quotaservice.cpp
@@ -33,12 +33,27 @@
             m_limits.emplace(limit.organisation, limit);
     }
     m_coordinator.set_limits(m_limits);
-    for (auto& [name, quota] : m_organisation_quotas) {
-        if (const auto found = m_limits.find(name); found != m_limits.end())
-            quota.set_limit(found->second);
+    for (auto it = m_organisation_quotas.begin(); it != m_organisation_quotas.end();) {
+        const auto found = m_limits.find(it->first);
+        if (found == m_limits.end()) {
+            it = remove_quota(it);
+            continue;
+        }
+        it->second.set_limit(found->second);
+        ++it;
     }
 }
 
+quota_service::quota_map::iterator quota_service::remove_quota(quota_map::iterator position)
+{
+    // Requests that wait for a token need none any more.
+    const auto waiters = std::exchange(position->second.waiters, {});
+    const auto next = m_organisation_quotas.erase(position);
+    for (const auto& waiter : waiters)
+        waiter.done(std::nullopt);
+    return next;
+}
+
 std::string quota_service::coordinator() const
 {
     std::string lowest_name;
--- a/src/plugins/quota/quotaservice.h
+++ b/src/plugins/quota/quotaservice.h
@@ -31,7 +31,10 @@
 
 private:
     using organisation_quota = detail::local_quota;
+    using quota_map = std::map<std::string, organisation_quota, std::less<>>;
 
+    /// Removes the quota of an organisation that has no limit any more. Returns the next position.
+    quota_map::iterator remove_quota(quota_map::iterator position);
     std::string coordinator() const;
     void send_report();
     void request_tokens(const std::string& organisation, organisation_quota& quota);
@@ -50,7 +53,7 @@
     control_link& m_control;
     quota_coordinator m_coordinator;
     std::map<std::string, quota_limit, std::less<>> m_limits;
-    std::map<std::string, organisation_quota, std::less<>> m_organisation_quotas;
+    quota_map m_organisation_quotas;
     std::string m_last_coordinator;
     time_point m_last_coordinator_response;
     bool m_uses_even_shares = false;
--- a/tests/auto/plugins/quota/tst_quota.cpp
+++ b/tests/auto/plugins/quota/tst_quota.cpp
@@ -169,6 +169,36 @@
     BOOST_TEST(refused_requests == 0);
 }
 
+// A request that waits for a token when the limit is removed must be admitted, not refused after the whole wait.
+BOOST_FIXTURE_TEST_CASE(requests_that_wait_are_admitted_when_the_limit_is_removed, quota_fleet)
+{
+    bool admitted = false;
+    nodes.at("node-3")->admit("school", [&](std::optional<refusal> why) { admitted = !why; });
+    BOOST_TEST(!admitted);
+    nodes.at("node-3")->set_limits({});
+    BOOST_TEST(admitted);
+}
+
+// A node that was paused must not use tokens that it was granted before: the coordinator has granted their part of the
+// rate to others meanwhile.
+BOOST_FIXTURE_TEST_CASE(tokens_expire_during_a_pause, quota_fleet)
+{
+    detail::local_quota quota(quota_settings{}, {"school", rate, burst}, timers.now());
+    quota.add_tokens(timers.now(), 10);
+    timers.advance(5s);
+    BOOST_TEST(!quota.take_token(timers.now()));
+}
+
+// Deeply nested bytes must not exhaust the stack: such a message from one peer ended the process.
+BOOST_AUTO_TEST_CASE(nested_messages_do_not_exhaust_the_stack)
+{
+    for (const char byte : {'\x81', '\x9f', '\x0b', '\x1a'}) {
+        const std::string nested(std::size_t{4} * 1024 * 1024, byte);
+        BOOST_TEST(!decode_quota_report(nested).has_value());
+        BOOST_TEST(!kind_of(nested).has_value());
+    }
+}
+
 // Truncated messages must be rejected, and a message must not be decoded as another kind.
 BOOST_AUTO_TEST_CASE(unreadable_messages_are_rejected)
 {
@@ -178,6 +208,14 @@
     BOOST_TEST(!decode_quota_grant(report).has_value());
     for (std::size_t length = 0; length < report.size(); ++length)
         BOOST_TEST(!kind_of(std::string_view(report).substr(0, length)).has_value());
+    seeded_random_source random(5);
+    for (int i = 0; i < 5000; ++i) {
+        std::string bytes = report;
+        bytes[random.uniform(bytes.size())] = static_cast<char>(random.uniform(256));
+        kind_of(bytes);
+        decode_quota_report(bytes);
+        decode_quota_grant(bytes);
+    }
 }
 
 } // namespace mulberry
