Refuse requests that a stopping node cannot finish

A request, and a call from another node, is now taken only if its deadline, which includes the route's timeout, is before the end of the stop. Weighed: the time that such requests took lately instead of the deadline; it serves a little more in the last seconds but can cut a request, which is what must not happen.

--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -65,6 +65,9 @@
 
     void begin_drain() override
     {
+        const time_point end = m_owner.m_timers.now() + m_owner.m_settings.drain.limit;
+        m_owner.m_entry->begin_stopping(end);
+        m_owner.m_guard->begin_stopping(end);
         m_owner.m_members->set_own_state(member_state::leaving);
         m_owner.m_guard->begin_leaving();
         m_owner.m_organisation_shares->drain([this] { m_shares_returned = true; });
--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -47,6 +47,9 @@
 
     void begin_drain() override
     {
+        const time_point end = m_owner.m_timers.now() + m_owner.m_settings.stop_limit - stop_margin;
+        m_owner.m_entry->begin_stopping(end);
+        m_owner.m_guard->begin_stopping(end);
         m_owner.m_leaving_timer = m_owner.m_timers.schedule(guard_leaving_delay, [this] {
             m_leaving = true;
             m_owner.m_guard->begin_leaving();
@@ -193,10 +196,11 @@
     member own;
     own.service = std::move(service);
     own.state = state;
-    if (upstream && !upstream->leaving_since) {
+    if (upstream) {
         own.instance = upstream->last_report.instance;
-        own.slots = upstream->last_report.slots;
         own.instance_started_ms = upstream->last_report.born_ms;
+        own.upstream_leaving = upstream->leaving_since.has_value();
+        own.slots = own.upstream_leaving ? 0 : upstream->last_report.slots;
     }
     m_registry->set_own_record(own);
 }
@@ -210,6 +214,7 @@
     report.service = previous_run.service;
     report.slots = previous_run.slots;
     report.born_ms = previous_run.instance_started_ms;
+    report.leaving = previous_run.upstream_leaving;
     m_upstream.restore(std::move(report));
 }
 
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -2,6 +2,7 @@
 
 #include "libs/base/asyncerror.h"
 #include "libs/base/invariant.h"
+#include "libs/base/jitter.h"
 #include "plugins/calls/headerpolicy.h"
 #include "plugins/idempotency/idempotencykey.h"
 #include "plugins/retry/earnedretrybudget.h"
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr std::string_view key_issue_prefix = "/mulberry/v1/idempotency-keys/";
+// Retry-After of requests that a stopping node refuses, before jitter. Other nodes can serve them at once.
+constexpr duration stopping_retry_after = std::chrono::milliseconds(100);
 constexpr int status_created = 201;
 constexpr int status_service_unavailable = 503;
 // Estimated size of the other fields of a call, counted against the byte budget of the link between regions.
@@ -94,6 +97,8 @@
         request->parent->nested_call_cancels[request->handle] = [this, handle = request->handle] { cancel(handle); };
     if (!refused)
         refused = m_checks.check_idempotency_key(*request);
+    if (!refused)
+        refused = check_planned_stop(*request);
     if (!refused)
         refused = m_load.check(*request);
     if (refused) {
@@ -106,6 +111,13 @@
     return request->finished ? 0 : request->handle;
 }
 
+std::optional<refusal> entry_service::check_planned_stop(const request_state& request)
+{
+    if (!m_stops_at || request.deadline <= *m_stops_at)
+        return std::nullopt;
+    return not_run_refusal(refusal_reason::draining, with_jitter(stopping_retry_after, m_dependencies.random));
+}
+
 std::string entry_service::request_id_of(const request_state& request) const
 {
     if (request.parent != nullptr)
--- a/src/plugins/entry/entryservice.h
+++ b/src/plugins/entry/entryservice.h
@@ -38,6 +38,10 @@
     /// Handles the disconnection of the caller: cancels the attempt in progress and gives no response.
     void cancel(entry_handle handle);
 
+    /// Begins the planned stop of this node, which ends at `end`. From now on a request is refused as not run unless
+    /// its deadline is before the end, because it would be cut otherwise.
+    void begin_stopping(time_point end) { m_stops_at = end; }
+
     /// Refuses every request in progress with the given reason. Returns the number of these requests.
     std::size_t refuse_all(refusal_reason reason);
 
@@ -48,6 +52,7 @@
     using request_ptr = std::shared_ptr<request_state>;
 
     entry_handle start(const request_ptr& request);
+    std::optional<refusal> check_planned_stop(const request_state& request);
     std::string request_id_of(const request_state& request) const;
     void take_token(const request_ptr& request);
     void first_attempt(const request_ptr& request);
@@ -83,6 +88,7 @@
     std::unordered_map<entry_handle, request_ptr> m_requests;
     entry_handle m_last_handle = 0;
     std::uint64_t m_last_sequence = 0;
+    std::optional<time_point> m_stops_at;
 };
 
 } // namespace mulberry
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -68,7 +68,7 @@
         return refusal{refusal_reason::duplicate_attempt, outcome::unknown, duration{0}};
     if (request.remaining <= duration{0})
         return not_run_refusal(refusal_reason::deadline_expired);
-    if (is_leaving_grace_over())
+    if (is_leaving_grace_over() || (m_stops_at && m_timers.now() + request.remaining > *m_stops_at))
         return not_run_refusal(refusal_reason::leaving);
     return std::nullopt;
 }
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -74,6 +74,10 @@
     /// running.
     std::shared_ptr<call_context> find_context(std::string_view token) const;
 
+    /// Begins the planned stop of this node, which ends at `end`. From now on a call is refused as not run unless its
+    /// deadline is before the end.
+    void begin_stopping(time_point end) { m_stops_at = end; }
+
     /// Starts the leaving grace period, after which new calls are refused. Queued and running calls are completed.
     void begin_leaving();
 
@@ -137,6 +141,7 @@
     std::unordered_map<attempt_id, call> m_calls;
     std::unordered_map<std::string, std::shared_ptr<call_context>> m_contexts;
     std::optional<time_point> m_leaving_since;
+    std::optional<time_point> m_stops_at;
     upstream_status m_upstream_state;
 };
 
--- a/tests/auto/plugins/entry/tst_entry.cpp
+++ b/tests/auto/plugins/entry/tst_entry.cpp
@@ -372,4 +372,19 @@
     BOOST_TEST(find_header(transport.calls[0].headers, "Authorization").empty());
 }
 
+// Guards against requests that are taken late in a planned stop and cut at its end: a request is handed on only if its
+// deadline is before the end, and is refused as not run otherwise.
+BOOST_FIXTURE_TEST_CASE(a_stopping_entry_takes_only_requests_that_can_end, entry_fixture)
+{
+    entry->begin_stopping(timers.now() + 3s);
+    // The deadline of 2 s is before the end of the stop.
+    transport.script = {make_response()};
+    BOOST_TEST(send() == 200);
+    // Its time has passed since, so that the next request could be cut.
+    BOOST_TEST(send() == 503);
+    BOOST_TEST(!find_header(received_response->headers, "Retry-After").empty());
+    BOOST_TEST(received_response->body.find("\"not_run\":true") != std::string::npos);
+    BOOST_TEST(transport.calls.size() == 1U);
+}
+
 } // namespace mulberry
