Read the store's changes through one node of each failure domain

Cause: each node watched the store by itself, so that each entry written woke each node.

The first nodes of a failure domain by name, one for each 16, read the store; the others poll them over the peer connections (plugins/storerelay). There is no election: a node passes over a relay that does not respond or whose copy is too old, then the next one, and reads the store itself if none before it is left. Each response says how old the relay's copy was and how long the poll was held, from which a node derives a bound of its own view's age that counts no transit time; keys are accepted on that bound as before. Nodes that the store turns away keep their view through others.

--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -38,6 +38,19 @@
     return settings;
 }
 
+/// The copy of the configuration must be fresh, because keys are accepted only while it is; nothing depends on the age
+/// of the list of nodes.
+relayed_store_settings make_relay_settings(const platform_adapter& platform)
+{
+    relayed_watch_settings configuration;
+    configuration.poll_wait = std::chrono::milliseconds(500);
+    configuration.max_age = std::chrono::milliseconds(1900);
+    relayed_store_settings settings;
+    settings.prefixes.emplace(platform.configuration_key(), configuration);
+    settings.prefixes.emplace(registry_settings{}.prefix, relayed_watch_settings{});
+    return settings;
+}
+
 peer_settings make_peer_settings()
 {
     peer_settings settings;
@@ -117,14 +130,17 @@
       m_upstream_http(loop, m_timers), m_store(platform.make_store(m_store_http, m_timers)),
       m_security(std::make_shared<plain_security>(settings.node_name)), m_peers(loop, m_security, make_peer_settings()),
       m_peer_server(loop, m_security, m_router, make_peer_settings()), m_control(m_peers, *this),
-      m_transport(m_timers, m_peers, *this)
+      m_transport(m_timers, m_peers, *this),
+      m_relayed_store(make_relay_settings(platform), settings.node_name, settings.location, *m_store, m_peers, *this,
+                      m_timers, m_random, [this] { return known_members(); }),
+      m_relay_port(m_relayed_store, m_timers)
 {
     store_follower_listener& listener = *this;
     m_configuration =
-        std::make_unique<store_follower>(m_timers, m_random, *m_store, platform.configuration_key(), listener);
+        std::make_unique<store_follower>(m_timers, m_random, m_relayed_store, platform.configuration_key(), listener);
     const sidecar_environment environment{
         m_timers,        m_random,    m_secure_random,
-        *m_store,        m_transport, m_control,
+        m_relayed_store, m_transport, m_control,
         m_upstream_http, m_observer,  [this] { return m_configuration->confirmed_until(); }};
     m_node = std::make_unique<sidecar_node>(m_settings, node_id{m_settings.node_name, start_time_ms()},
                                             platform.fields(), environment);
@@ -133,6 +149,7 @@
     m_calls = std::make_unique<call_handler>(m_node->guard());
     m_router.add(std::string(call_path), *m_calls);
     m_router.add(std::string(peer_control_link::path_prefix), m_control);
+    m_router.add(std::string(relay_path), m_relay_port);
     entry_service& entry = m_node->entry();
     m_caller_port =
         std::make_unique<caller_port>(entry, [&entry](caller_request request, entry_service::response_callback done) {
@@ -212,7 +229,14 @@
     return node->address;
 }
 
-void sidecar_daemon::on_snapshot(std::span<const store_entry> entries)
+std::span<const member> sidecar_daemon::known_members() const
+{
+    if (m_node == nullptr)
+        return {};
+    return m_node->registry().members();
+}
+
+void sidecar_daemon::on_snapshot(std::span<const store_entry> entries, std::int64_t /*revision*/)
 {
     for (const store_entry& entry : entries)
         apply_configuration(entry);
--- a/src/app/sidecar/sidecardaemon.h
+++ b/src/app/sidecar/sidecardaemon.h
@@ -16,6 +16,8 @@
 #include "libs/peer/peerserver.h"
 #include "libs/peer/plainsecurity.h"
 #include "libs/store/storefollower.h"
+#include "plugins/storerelay/relayedstore.h"
+#include "plugins/storerelay/relayport.h"
 
 #include <memory>
 
@@ -43,7 +45,8 @@
 
     leaf::result<void> listen(http1_server& server, const network_endpoint& endpoint);
     std::optional<std::string> find_address(std::string_view node_name) const override;
-    void on_snapshot(std::span<const store_entry> entries) override;
+    std::span<const member> known_members() const;
+    void on_snapshot(std::span<const store_entry> entries, std::int64_t revision) override;
     void on_changes(std::span<const watch_event> events) override;
     void apply_configuration(const store_entry& entry);
     void finish_stop();
@@ -67,6 +70,8 @@
     peer_server m_peer_server;
     peer_control_link m_control;
     peer_transport m_transport;
+    relayed_store m_relayed_store;
+    relay_port m_relay_port;
     std::unique_ptr<store_follower> m_configuration;
     std::unique_ptr<sidecar_node> m_node;
     std::unique_ptr<call_handler> m_calls;
--- a/tests/fakes/faultystore.cpp
+++ b/tests/fakes/faultystore.cpp
@@ -88,19 +88,33 @@
 watch_id faulty_store::watch(std::string_view prefix, std::int64_t from_revision, watch_callback on_change)
 {
     ++m_calls;
-    return m_backing.watch(prefix, from_revision,
-                           [this, alive = std::weak_ptr<bool>(m_alive), on_change = std::move(on_change)](auto events) {
-                               if (alive.expired())
-                                   return;
-                               if (m_faults.down)
-                                   return on_change(captured_error<std::vector<watch_event>>(store_error::unavailable));
-                               on_change(std::move(events));
-                           });
+    const watch_id id =
+        m_backing.watch(prefix, from_revision,
+                        [this, alive = std::weak_ptr<bool>(m_alive), on_change = std::move(on_change)](auto events) {
+                            if (alive.expired())
+                                return;
+                            if (m_faults.down)
+                                return on_change(captured_error<std::vector<watch_event>>(store_error::unavailable));
+                            on_change(std::move(events));
+                        });
+    m_watches.emplace(id, m_timers.now());
+    return id;
 }
 
 void faulty_store::cancel_watch(watch_id id)
 {
+    m_watches.erase(id);
     m_backing.cancel_watch(id);
 }
 
+std::optional<time_point> faulty_store::watch_confirmed_until(watch_id id) const
+{
+    if (!m_faults.down)
+        return m_timers.now();
+    const auto watch = m_watches.find(id);
+    if (watch == m_watches.end() || watch->second > m_down_since)
+        return std::nullopt;
+    return m_down_since;
+}
+
 } // namespace mulberry
--- a/tests/fakes/faultystore.h
+++ b/tests/fakes/faultystore.h
@@ -3,7 +3,9 @@
 #include "libs/base/randomsource.h"
 #include "libs/store/memorystore.h"
 
+#include <map>
 #include <memory>
+#include <optional>
 
 namespace mulberry {
 
@@ -25,7 +27,12 @@
     {
     }
 
-    void set_faults(const store_faults& faults) { m_faults = faults; }
+    void set_faults(const store_faults& faults)
+    {
+        if (faults.down && !m_faults.down)
+            m_down_since = m_timers.now();
+        m_faults = faults;
+    }
     /// Number of calls so far. Opening a watch counts as one call.
     std::uint64_t calls() const { return m_calls; }
 
@@ -39,6 +46,8 @@
     void keep_alive(lease_id lease, std::function<void(leaf::result<void>)> done) override;
     watch_id watch(std::string_view prefix, std::int64_t from_revision, watch_callback on_change) override;
     void cancel_watch(watch_id id) override;
+    /// Watches report changes at once while the store is reachable.
+    std::optional<time_point> watch_confirmed_until(watch_id id) const override;
 
 private:
     template <typename Result>
@@ -56,6 +65,9 @@
     random_source& m_random;
     store_faults m_faults;
     std::uint64_t m_calls = 0;
+    time_point m_down_since;
+    // When the watches were opened.
+    std::map<watch_id, time_point> m_watches;
     // Expires with this object, because the backing store may respond after its destruction.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
