Keep an own read of the store going until a relay is a better source

While it is on its way all copies are older than 1.9 s, so nodes read the store themselves, and gave that read up after 0.5 s to ask relays again.

The own read now goes on while relays are asked, and ends when a relay has proved to be fresh. The new test opens 20 watches instead of one on the code before.

--- a/src/plugins/storerelay/relayedstore.cpp
+++ b/src/plugins/storerelay/relayedstore.cpp
@@ -238,7 +238,7 @@
 
 std::optional<std::string> relayed_store::choose_relay()
 {
-    const auto relay = m_selector.choose(m_members());
+    auto relay = m_selector.choose(m_members());
     log_source(relay.value_or(std::string()));
     return relay;
 }
--- a/src/plugins/storerelay/relayedwatch.cpp
+++ b/src/plugins/storerelay/relayedwatch.cpp
@@ -35,7 +35,6 @@
     const auto relay = m_owner.choose_relay();
     if (!relay)
         return watch_directly();
-    stop_direct_watch();
     poll(*relay);
 }
 
@@ -97,11 +96,15 @@
     // held for the stated time. The transit times are unknown and are not counted.
     const time_point now = m_timers.now();
     const time_point earliest_response = request_time + std::min(page.held, now - request_time);
-    m_confirmed_until = std::max(m_confirmed_until, std::optional(earliest_response - page.age));
+    const time_point relay_confirmed_until = earliest_response - page.age;
+    m_confirmed_until = std::max(m_confirmed_until, std::optional(relay_confirmed_until));
     if (!report(page.events))
         return;
-    if (is_too_old())
+    if (m_settings.max_age && now - relay_confirmed_until > *m_settings.max_age)
         return fail_relay(relay_failure::stale_copy);
+    // An own read of the store goes on until a relay has proved to be a better source: it may be receiving a large
+    // entry over a narrow link, and would have to begin again.
+    stop_direct_watch();
     step_later();
 }
 
--- a/tests/auto/plugins/storerelay/tst_relayparts.cpp
+++ b/tests/auto/plugins/storerelay/tst_relayparts.cpp
@@ -1,8 +1,10 @@
 #include "fakes/virtualtimerservice.h"
+#include "plugins/storerelay/relayedwatch.h"
 #include "plugins/storerelay/relaymessages.h"
 #include "plugins/storerelay/relayselector.h"
 #include "plugins/storerelay/storecopy.h"
 
+#include <memory>
 #include <set>
 
 #include <boost/test/unit_test.hpp>
@@ -59,8 +61,67 @@
     }
 };
 
+/// A store whose watches report nothing; counts how many are opened and cancelled.
+struct silent_store final : key_value_store {
+    void get(std::string_view, std::function<void(leaf::result<range_result>)>) override {}
+    void range(std::string_view, std::function<void(leaf::result<range_result>)>) override {}
+    void put_if(std::string_view, std::int64_t, std::string, lease_id,
+                std::function<void(leaf::result<put_result>)>) override
+    {
+    }
+    void remove_if(std::string_view, std::int64_t, std::function<void(leaf::result<put_result>)>) override {}
+    void grant_lease(duration, std::function<void(leaf::result<lease_id>)>) override {}
+    void keep_alive(lease_id, std::function<void(leaf::result<void>)>) override {}
+    watch_id watch(std::string_view, std::int64_t, watch_callback) override { return static_cast<watch_id>(++opened); }
+    void cancel_watch(watch_id) override { ++cancelled; }
+
+    int opened = 0;
+    int cancelled = 0;
+};
+
+/// A relay whose copy has a given age, and the store.
+struct watch_fixture : relayed_watch_owner {
+    std::optional<std::string> choose_relay() override
+    {
+        return is_relay_known ? std::optional<std::string>("relay") : std::nullopt;
+    }
+    void on_relay_failed(std::string_view, relay_failure) override { is_relay_known = false; }
+    void on_direct_read_failed() override { is_relay_known = true; }
+    peer_call_id poll_relay(const std::string&, const relay_poll&, peer_callback done) override
+    {
+        const relay_page page{relay_status::complete, 20, relay_age, 0ms, {}};
+        timers.schedule(1ms, [page, done = std::move(done)] { done(encode(page)); });
+        return 1;
+    }
+    void cancel_poll(peer_call_id) override {}
+    key_value_store& direct_store() override { return store; }
+
+    virtual_timer_service timers;
+    silent_store store;
+    bool is_relay_known = false;
+    duration relay_age{0};
+};
+
 } // namespace
 
+// Guards against an own read of the store that is given up for a relay with an old copy and begun again: a large entry
+// was never received over a narrow link.
+BOOST_FIXTURE_TEST_CASE(an_own_read_goes_on_until_a_relay_is_fresh, watch_fixture)
+{
+    relayed_watch_settings settings;
+    settings.max_age = 1900ms;
+    relay_age = 5s;
+    const auto watch = std::make_shared<relayed_watch>(settings, timers, *this, "op/config", 11, [](auto) {});
+    watch->step();
+    timers.advance(10s);
+    BOOST_TEST(store.opened == 1);
+    BOOST_TEST(store.cancelled == 0);
+    relay_age = 100ms;
+    timers.advance(1s);
+    BOOST_TEST(store.cancelled == 1);
+    BOOST_TEST((timers.now() - watch->confirmed_until().value() < 1900ms));
+}
+
 // Guards against changes that a poll misses or receives in the wrong order.
 BOOST_AUTO_TEST_CASE(a_copy_lists_the_changes_after_a_revision)
 {
--- a/tests/fakes/faultystore.cpp
+++ b/tests/fakes/faultystore.cpp
@@ -112,7 +112,7 @@
     if (!m_faults.down)
         return m_timers.now();
     const auto watch = m_watches.find(id);
-    if (watch == m_watches.end() || watch->second > m_down_since)
+    if (watch == m_watches.end() || watch->second >= m_down_since)
         return std::nullopt;
     return m_down_since;
 }
