Ask a relay that has just started again soon, and satisfy the linter

A node that starts with the others finds a relay without a copy and passed it over for 3 s, in which it read the store itself. It asks again after 0.5 s now (a case in tst_relayparts).

Findings of clang-tidy on the new files: braces, a widening multiplication and a constant that prevented a move; the ways to lose a relay are an enumeration.

--- a/src/plugins/storerelay/relayselector.cpp
+++ b/src/plugins/storerelay/relayselector.cpp
@@ -65,7 +65,8 @@
 
 void relay_selector::on_failed(std::string_view relay, relay_failure failure)
 {
-    const duration time = failure == relay_failure::stale_copy ? m_settings.stale_time : m_settings.failure_time;
+    const bool recovers_soon = failure == relay_failure::stale_copy || failure == relay_failure::no_copy;
+    const duration time = recovers_soon ? m_settings.stale_time : m_settings.failure_time;
     m_failed_until.insert_or_assign(std::string(relay), m_timers.now() + with_jitter(time, m_random));
 }
 
--- a/src/plugins/storerelay/relayselector.h
+++ b/src/plugins/storerelay/relayselector.h
@@ -21,8 +21,8 @@
     std::size_t nodes_per_relay = 16;
     /// Time for which a relay that failed is not chosen, before jitter.
     duration failure_time{std::chrono::seconds(3)};
-    /// The same for a relay whose copy is too old. It is shorter, because a relay that has lost its own source finds
-    /// another one soon.
+    /// The same for a relay whose copy is too old or missing. It is shorter, because a relay that has lost its own
+    /// source or has just started finds one soon.
     duration stale_time{std::chrono::milliseconds(500)};
 };
 
--- a/tests/auto/plugins/registry/tst_storeregistry.cpp
+++ b/tests/auto/plugins/registry/tst_storeregistry.cpp
@@ -129,7 +129,7 @@
 // of retries, and all calls to the store are billed.
 BOOST_FIXTURE_TEST_CASE(calls_during_an_outage_do_not_multiply, registry_fixture)
 {
-    constexpr int outage_s = 60;
+    constexpr std::uint64_t outage_s = 60;
     // One lease call, one write and one read of the entries per second, with a margin for the first, shorter delays.
     constexpr std::uint64_t max_calls = 4 * outage_s;
     store_faults faults;
--- a/tests/auto/plugins/storerelay/tst_relayparts.cpp
+++ b/tests/auto/plugins/storerelay/tst_relayparts.cpp
@@ -157,10 +157,11 @@
     std::set<std::string> relays;
     for (const member& each : members) {
         const auto relay = make(each.id.name, each.location.failure_domain).choose(members);
-        if (!relay)
+        if (!relay) {
             relays.insert(each.id.name);
-        else
-            BOOST_TEST(relay->substr(0, 4) == each.id.name.substr(0, 4));
+            continue;
+        }
+        BOOST_TEST(relay->substr(0, 4) == each.id.name.substr(0, 4));
     }
     BOOST_TEST((relays == std::set<std::string>{"caudan-000", "quay-000", "quay-001", "quay-002"}));
 }
@@ -178,6 +179,10 @@
     timers.advance(5s);
     BOOST_TEST(selector.choose(members).value() == "quay-000");
     BOOST_TEST(!selector.choose({}).has_value());
+    // A relay that has just started has a copy soon.
+    selector.on_failed("quay-000", relay_failure::no_copy);
+    timers.advance(1s);
+    BOOST_TEST(selector.choose(members).value() == "quay-000");
 }
 
 // Guards against two nodes that receive the changes from each other, because neither lists itself yet.
--- a/tests/auto/plugins/storerelay/tst_storerelay.cpp
+++ b/tests/auto/plugins/storerelay/tst_storerelay.cpp
@@ -49,6 +49,23 @@
     return faults;
 }
 
+enum class relay_loss : std::uint8_t { stopped, isolated, paused, without_store };
+
+void lose(relay_fleet& fleet, const std::string& relay, relay_loss how)
+{
+    switch (how) {
+    case relay_loss::stopped:
+        return fleet.stop(relay);
+    case relay_loss::isolated:
+        fleet.isolated = {relay};
+        return;
+    case relay_loss::paused:
+        return fleet.nodes.at(relay)->timers().pause();
+    case relay_loss::without_store:
+        return fleet.nodes.at(relay)->connection().set_faults(unreachable());
+    }
+}
+
 } // namespace
 
 // Guards against store calls that grow with the number of nodes: only the relays read the store, one for each 16 nodes
@@ -82,23 +99,17 @@
 BOOST_AUTO_TEST_CASE(the_loss_of_a_relay_is_bridged)
 {
     const std::string relay = joined_fleet::name(0, 0);
-    for (const std::string how : {"stopped", "isolated", "paused", "without store"}) {
+    for (const relay_loss how :
+         {relay_loss::stopped, relay_loss::isolated, relay_loss::paused, relay_loss::without_store}) {
         joined_fleet fleet;
         BOOST_REQUIRE(fleet.nodes.at(relay)->reads_store());
-        if (how == "stopped")
-            fleet.stop(relay);
-        else if (how == "isolated")
-            fleet.isolated = {relay};
-        else if (how == "paused")
-            fleet.nodes.at(relay)->timers().pause();
-        else
-            fleet.nodes.at(relay)->connection().set_faults(unreachable());
+        lose(fleet, relay, how);
         for (int i = 0; i < 20; ++i) {
             fleet.change_configuration();
-            BOOST_TEST(fleet.run(500ms), how);
+            BOOST_TEST(fleet.run(500ms), static_cast<int>(how));
             for (const auto& [name, node] : fleet.nodes) {
                 if (name != relay)
-                    BOOST_TEST((node->view_age() <= max_usable_age), how << " " << name);
+                    BOOST_TEST((node->view_age() <= max_usable_age), static_cast<int>(how) << " " << name);
             }
         }
     }
