Set the limit of received bodies from the memory limit, and end a watch once

The limit of all response bodies that are being received had its default of 256 MiB in the sidecar, which is above the memory of a VM of 160 MB, so responses without end could still end the process; it is half of the memory limit now. It is not tested at the level of the daemon; tst_http1client tests the limit itself.

A relayed watch that one source had ended called its callback, which was gone, when the other source reported in the same turn. The event loop would have logged the exception. The new case fails on the code before.

--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -16,6 +16,9 @@
 // The memory limit is divided by this number to obtain the limit for bodies of callers' requests. The rest is needed
 // for bodies of calls from other nodes and for the copies that are made while a request is forwarded.
 constexpr std::size_t body_memory_divisor = 8;
+// The memory limit is divided by this number to obtain the limit for bodies of the upstream's responses that are being
+// received.
+constexpr std::size_t response_memory_divisor = 2;
 constexpr std::size_t max_peer_message_bytes = std::size_t{68} * 1024 * 1024;
 // The descriptor limit is divided by this number to obtain the limit for callers' connections. The rest is needed for
 // the upstream, other daemons and the store.
@@ -30,6 +33,13 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
+http1_client_settings upstream_client_settings(const sidecar_settings& daemon_settings)
+{
+    http1_client_settings settings;
+    settings.max_receiving_bytes = daemon_settings.memory_limit_bytes / response_memory_divisor;
+    return settings;
+}
+
 http1_client_settings store_client_settings()
 {
     http1_client_settings settings;
@@ -127,7 +137,8 @@
 sidecar_daemon::sidecar_daemon(const sidecar_settings& settings, platform_adapter& platform, event_loop& loop)
     : m_settings(settings), m_platform(platform), m_loop(loop), m_timers(loop), m_random(m_secure_random.next()),
       m_observer(m_metrics, [this] { return view_age(); }), m_store_http(loop, m_timers, store_client_settings()),
-      m_upstream_http(loop, m_timers), m_store(platform.make_store(m_store_http, m_timers)),
+      m_upstream_http(loop, m_timers, upstream_client_settings(settings)),
+      m_store(platform.make_store(m_store_http, m_timers)),
       m_security(std::make_shared<plain_security>(settings.node_name)), m_peers(loop, m_security, make_peer_settings()),
       m_peer_server(loop, m_security, m_router, make_peer_settings()), m_control(m_peers, *this),
       m_transport(m_timers, m_peers, *this),
--- a/src/plugins/storerelay/relayedwatch.cpp
+++ b/src/plugins/storerelay/relayedwatch.cpp
@@ -169,7 +169,8 @@
 bool relayed_watch::report(const std::vector<watch_event>& events)
 {
     const auto self = shared_from_this();
-    if (!events.empty())
+    // The other source may still report when one of them has ended the watch.
+    if (!events.empty() && !m_has_ended)
         m_on_change(events);
     // If the callback has cancelled the watch, `self` is its only owner.
     return self.use_count() > 1;
--- a/tests/auto/plugins/storerelay/tst_relayparts.cpp
+++ b/tests/auto/plugins/storerelay/tst_relayparts.cpp
@@ -72,11 +72,17 @@
     void remove_if(std::string_view, std::int64_t, std::function<void(leaf::result<put_result>)>) override {}
     void grant_lease(duration, std::function<void(leaf::result<lease_id>)>) override {}
     void keep_alive(lease_id, std::function<void(leaf::result<void>)>) override {}
-    watch_id watch(std::string_view, std::int64_t, watch_callback) override { return static_cast<watch_id>(++opened); }
+    watch_id watch(std::string_view, std::int64_t, watch_callback on_change) override
+    {
+        report = std::move(on_change);
+        return static_cast<watch_id>(++opened);
+    }
     void cancel_watch(watch_id) override { ++cancelled; }
 
     int opened = 0;
     int cancelled = 0;
+    /// Callback of the watch that was opened last.
+    watch_callback report;
 };
 
 /// A relay whose copy has a given age, and the store.
@@ -89,7 +95,7 @@
     void on_direct_read_failed() override { is_relay_known = true; }
     peer_call_id poll_relay(const std::string&, const relay_poll&, peer_callback done) override
     {
-        const relay_page page{relay_status::complete, 20, relay_age, 0ms, {}};
+        const relay_page page{page_status, 20, relay_age, 0ms, {}};
         timers.schedule(1ms, [page, done = std::move(done)] { done(encode(page)); });
         return 1;
     }
@@ -100,6 +106,7 @@
     silent_store store;
     bool is_relay_known = false;
     duration relay_age{0};
+    relay_status page_status = relay_status::complete;
 };
 
 } // namespace
@@ -122,6 +129,26 @@
     BOOST_TEST((timers.now() - watch->confirmed_until().value() < 1900ms));
 }
 
+// Guards against an exception in the event loop: one source has ended the watch, and the other one reports in the same
+// turn, when the callback is gone already.
+BOOST_FIXTURE_TEST_CASE(an_ended_watch_reports_nothing, watch_fixture)
+{
+    relayed_watch_settings settings;
+    settings.max_age = 1900ms;
+    int reports = 0;
+    int ends = 0;
+    const auto watch = std::make_shared<relayed_watch>(settings, timers, *this, "op/config", 11, [&](auto result) {
+        reports += result ? 1 : 0;
+        ends += result ? 0 : 1;
+    });
+    watch->step();
+    page_status = relay_status::history_gone;
+    timers.advance(5s);
+    BOOST_TEST(ends == 1);
+    store.report(std::vector<watch_event>{put("a", 30)});
+    BOOST_TEST(reports == 0);
+}
+
 // Guards against changes that a poll misses or receives in the wrong order.
 BOOST_AUTO_TEST_CASE(a_copy_lists_the_changes_after_a_revision)
 {
