Log and export the rate limit that an upstream names

The logs could not tell whether a node knew the limit of its upstream: no line and no metric mentioned it. The guard now reads the notices of the upstream from its responses (Server-Limit, Server-Leaving), logs each change, and mulberrysidecar exports mulberry_upstream_rate_limit with the running and waiting requests. A response without the field ends the limit only if its request was forwarded after the last response that named it. Admission is unchanged.

--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -121,16 +121,30 @@
 
 class sidecar_daemon::metrics_port final : public http1_handler {
 public:
-    explicit metrics_port(daemon_metrics& metrics) : m_metrics(metrics) {}
+    metrics_port(const sidecar_node& node, daemon_metrics& metrics) : m_node(node), m_metrics(metrics) {}
 
     void on_request(http1_request_id /*id*/, http1_request /*request*/, response_callback done) override
     {
+        update_gauges();
         done({status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
     }
 
     void on_caller_gone(http1_request_id /*id*/) override {}
 
 private:
+    void update_gauges()
+    {
+        const guard_service& guard = m_node.guard();
+        m_metrics.set_gauge("mulberry_upstream_running", "Requests that run at this node's upstream.",
+                            static_cast<double>(guard.admission().running()));
+        m_metrics.set_gauge("mulberry_upstream_waiting", "Requests that wait for this node's upstream.",
+                            static_cast<double>(guard.admission().waiting()));
+        m_metrics.set_gauge("mulberry_upstream_rate_limit",
+                            "Requests per second that this node's upstream accepts; -1 if it names no limit.",
+                            guard.notice().rate_limit.value_or(-1));
+    }
+
+    const sidecar_node& m_node;
     daemon_metrics& m_metrics;
 };
 
@@ -168,7 +182,7 @@
         });
     m_readiness_port = std::make_unique<readiness_port>(*m_node, platform);
     m_announcement_port = std::make_unique<announcement_port>(*m_node, platform);
-    m_metrics_port = std::make_unique<metrics_port>(m_metrics);
+    m_metrics_port = std::make_unique<metrics_port>(*m_node, m_metrics);
     m_callers = std::make_unique<http1_server>(loop, *m_caller_port);
     m_readiness = std::make_unique<http1_server>(loop, *m_readiness_port);
     m_announcements = std::make_unique<http1_server>(loop, *m_announcement_port);
--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -173,6 +173,7 @@
     upstream_status status;
     status.present = true;
     status.instance = upstream.last_report.instance;
+    status.instance_started_ms = upstream.last_report.born_ms;
     status.service = upstream.last_report.service;
     status.slots = upstream.last_report.slots;
     status.leaving_since = upstream.leaving_since;
--- a/src/app/sidecar/sidecarnode.h
+++ b/src/app/sidecar/sidecarnode.h
@@ -57,6 +57,7 @@
 
     entry_service& entry() { return *m_entry; }
     guard_service& guard() { return *m_guard; }
+    const guard_service& guard() const { return *m_guard; }
     store_registry& registry() { return *m_registry; }
     upstream_tracker& upstream() { return m_upstream; }
     host_policy& policy() { return m_policy; }
--- /dev/null
+++ b/src/plugins/calls/upstreamnotice.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "plugins/calls/callrequest.h"
+#include "plugins/calls/fieldnames.h"
+
+#include <optional>
+
+namespace mulberry {
+
+/// What an upstream states about itself in the header of a response.
+struct upstream_notice {
+    /// Requests per second that the upstream accepts from all nodes together; empty if it names no limit.
+    std::optional<double> rate_limit;
+    /// Whether the upstream is leaving.
+    bool leaving = false;
+
+    bool operator==(const upstream_notice&) const = default;
+};
+
+/// Reads the notice from the header of a response. Empty if a field is malformed.
+std::optional<upstream_notice> read_upstream_notice(const header_list& headers, const field_names& names);
+
+} // namespace mulberry
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -2,6 +2,7 @@
 
 #include "libs/base/asyncerror.h"
 #include "libs/base/invariant.h"
+#include "libs/base/log.h"
 #include "plugins/calls/headerpolicy.h"
 
 #include <utility>
@@ -12,6 +13,8 @@
 
 namespace {
 
+constexpr std::string_view log_part = "guard";
+
 finish_result finish_result_of(http_error error)
 {
     return error == http_error::timed_out ? finish_result::timed_out : finish_result::failed;
@@ -83,6 +86,10 @@
 
 void guard_service::set_upstream(upstream_status status)
 {
+    const bool same_run = status.instance == m_upstream_state.instance &&
+                          status.instance_started_ms == m_upstream_state.instance_started_ms;
+    if (!same_run)
+        m_notices.reset();
     m_upstream_state = std::move(status);
     if (!m_upstream_state.service.empty())
         m_settings.service = m_upstream_state.service;
@@ -238,6 +245,8 @@
         return;
     call& entry = node.mapped();
     end_context(entry);
+    if (result)
+        record_notice(entry, *result);
     if (result && reports_not_executed(*result)) {
         respond_not_executed(entry, *result);
     }
@@ -249,6 +258,22 @@
     }
 }
 
+void guard_service::record_notice(const call& entry, const http_response& response)
+{
+    const auto notice = read_upstream_notice(response.headers, m_settings.fields);
+    if (!notice)
+        return log_warning(log_part, "Ignoring a malformed rate limit of the upstream.");
+    // An upstream that has not run the request may be another one than the one that named the limit.
+    if (!notice->rate_limit && reports_not_executed(response))
+        return;
+    if (!m_notices.on_response(entry.admitted_at, m_timers.now(), *notice))
+        return;
+    const auto& limit = m_notices.current().rate_limit;
+    if (!limit)
+        return log_info(log_part, "Upstream {} no longer limits its rate of requests.", m_upstream_state.instance);
+    log_info(log_part, "Upstream {} accepts {:.1f} requests per second.", m_upstream_state.instance, *limit);
+}
+
 bool guard_service::reports_not_executed(const http_response& response) const
 {
     const field_names& names = m_settings.fields;
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -8,6 +8,7 @@
 #include "plugins/calls/fieldnames.h"
 #include "plugins/calls/requestobserver.h"
 #include "plugins/guard/attemptfilter.h"
+#include "plugins/guard/upstreamnoticetracker.h"
 #include "plugins/idempotency/idempotencytable.h"
 
 #include <functional>
@@ -50,6 +51,8 @@
     std::uint32_t slots = 0;
     /// When the upstream announced that it is leaving; empty before that.
     std::optional<time_point> leaving_since;
+    /// When that run started, in milliseconds since the Unix epoch by the upstream's clock.
+    std::int64_t instance_started_ms = 0;
 };
 
 /// Handles calls for the upstream beside this node: checks them, queues them for admission, forwards the admitted ones
@@ -94,6 +97,8 @@
     std::size_t in_progress() const { return m_calls.size(); }
     /// Share of retries among the running calls, in [0, 1]; 0 if no call is running.
     double repeat_share() const;
+    /// What the upstream states about itself in its responses.
+    const upstream_notice& notice() const { return m_notices.current(); }
     const admission_queue& admission() const { return m_admission; }
     const idempotency_table& idempotency() const { return m_idempotency; }
 
@@ -117,6 +122,7 @@
     std::optional<refusal> check(std::string_view sender_name, const call_request& request);
     bool is_leaving_grace_over() const;
     bool reports_not_executed(const http_response& response) const;
+    void record_notice(const call& entry, const http_response& response);
     void respond_not_executed(call& entry, const http_response& response);
     bool apply_idempotency_key(call& entry);
     void forward_to_upstream(call& entry);
@@ -143,6 +149,7 @@
     std::optional<time_point> m_leaving_since;
     std::optional<time_point> m_stops_at;
     upstream_status m_upstream_state;
+    detail::upstream_notice_tracker m_notices;
 };
 
 } // namespace mulberry
--- /dev/null
+++ b/src/plugins/guard/upstreamnoticetracker.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "libs/base/time.h"
+#include "plugins/calls/upstreamnotice.h"
+
+namespace mulberry::detail {
+
+/// Tracks what the upstream beside this node states about itself in its responses.
+class upstream_notice_tracker {
+public:
+    /// Records the notice in a response received at `now` to a request forwarded at `forwarded_at`. Returns whether the
+    /// current notice has changed.
+    bool on_response(time_point forwarded_at, time_point now, const upstream_notice& notice);
+    /// Discards everything, because another run of the upstream has begun.
+    void reset() { *this = {}; }
+
+    const upstream_notice& current() const { return m_current; }
+
+private:
+    upstream_notice m_current;
+    /// When a response last named a limit.
+    time_point m_limit_named_at;
+};
+
+} // namespace mulberry::detail
--- a/tests/fakes/fakeupstream.cpp
+++ b/tests/fakes/fakeupstream.cpp
@@ -35,7 +35,7 @@
         m_timers.schedule(m_faults.service_time, [this, id, body] {
             if (m_random.uniform_real() < m_faults.lost_response)
                 return finish(id, captured_error<http_response>(http_error::connection_lost));
-            finish(id, http_response{200, {{"Content-Type", "text/plain"}}, body});
+            finish(id, http_response{200, m_response_headers, body});
         });
     };
     if (m_nested_call)
--- a/tests/fakes/fakeupstream.h
+++ b/tests/fakes/fakeupstream.h
@@ -32,6 +32,8 @@
     fake_upstream(timer_service& timers, random_source& random) : m_timers(timers), m_random(random) {}
 
     void set_faults(const upstream_faults& faults) { m_faults = faults; }
+    /// Sets the header fields of all later responses.
+    void set_response_headers(http_headers headers) { m_response_headers = std::move(headers); }
     /// Sets the observer that is called when a request starts to run.
     void on_run(run_observer observer) { m_observer = std::move(observer); }
     /// Sets the call that a request makes through its node before its own service time. The call has to invoke `done`
@@ -60,6 +62,7 @@
     timer_service& m_timers;
     random_source& m_random;
     upstream_faults m_faults;
+    http_headers m_response_headers{{"Content-Type", "text/plain"}};
     run_observer m_observer;
     nested_call m_nested_call;
     http_headers m_last_headers;
