Pace admissions at the rate that the upstream names

Cause: admission knew slots only; nothing acted on a limit in requests per second, which is not a number of concurrent requests.

The guard is the only way to its upstream, so a token bucket there bounds the sum over all entries. Admission waits for a token beside a slot; a request that would wait more than 250 ms for one is refused at once as not run, with a reason of its own (upstream_limited), and can try another upstream. Guards report the concurrency that the rate allows, so that entries weigh limited upstreams by it. A refusal for the rate is not reported as shedding: other upstreams of the service may have no limit.

--- a/src/libs/base/refusal.h
+++ b/src/libs/base/refusal.h
@@ -48,6 +48,7 @@
     caller_gone,
     retries_exhausted,
     invariant_violated,
+    upstream_limited,
     count // number of reasons; not a reason itself
 };
 
--- a/src/plugins/admission/admissionqueue.cpp
+++ b/src/plugins/admission/admissionqueue.cpp
@@ -4,6 +4,7 @@
 #include "plugins/admission/concurrencylimiter.h"
 #include "plugins/admission/fairqueue.h"
 #include "plugins/admission/importanceordercheck.h"
+#include "plugins/admission/ratepacer.h"
 #include "plugins/admission/shedstatistics.h"
 
 #include <algorithm>
@@ -26,18 +27,24 @@
 public:
     implementation(admission_settings settings, timer_service& timers, admission_listener& listener)
         : m_settings(settings), m_timers(timers), m_listener(listener), m_queue(settings.order),
-          m_limiter(settings.slots, settings.learn_limit, timers.now()), m_statistics(timers.now())
+          m_limiter(settings.slots, settings.learn_limit, timers.now()), m_pacer(timers.now()),
+          m_statistics(timers.now())
     {
     }
     implementation(const implementation&) = delete;
     implementation& operator=(const implementation&) = delete;
-    ~implementation() { m_timers.cancel(m_expiry_timer); }
+    ~implementation()
+    {
+        m_timers.cancel(m_expiry_timer);
+        m_timers.cancel(m_pacing_timer);
+    }
 
     void offer(admission_request request);
     bool cancel(const attempt_id& id);
     void finished(const attempt_id& id, duration service_time, finish_result result);
     void begin_leaving();
     void set_slots(std::uint32_t slots);
+    void set_rate_limit(std::optional<double> per_second);
 
     load_report report(std::string_view organisation) const;
     std::size_t waiting() const { return m_queue.size(); }
@@ -45,7 +52,8 @@
     std::uint32_t concurrency_limit() const { return m_limiter.limit(); }
 
 private:
-    void admit_while_slots_free();
+    void admit_while_possible();
+    void arm_pacing();
     void admit(const detail::waiting_request& item);
     void shed(const detail::waiting_request& item, refusal_reason reason);
     void refuse_deadline(const detail::waiting_request& item);
@@ -55,6 +63,9 @@
 
     bool can_meet_deadline(time_point deadline, duration wait) const;
     duration expected_wait(importance level) const;
+    duration expected_paced_wait(importance level) const;
+    double usable_concurrency() const;
+    refusal_reason late_reason() const;
     std::size_t queue_limit() const;
     bool has_standing_queue(importance level) const;
     duration burst_delay() const;
@@ -68,6 +79,7 @@
     admission_listener& m_listener;
     detail::fair_queue m_queue;
     detail::concurrency_limiter m_limiter;
+    detail::rate_pacer m_pacer;
     detail::shed_statistics m_statistics;
     detail::importance_order_check m_order_check;
     std::unordered_map<attempt_id, importance> m_running;
@@ -75,6 +87,7 @@
     /// importance because a queue of background requests must not shorten the maximum wait of critical ones.
     std::array<time_point, all_importances.size()> m_waiting_since;
     timer_id m_expiry_timer = 0;
+    timer_id m_pacing_timer = 0;
     bool m_leaving = false;
 };
 
@@ -88,15 +101,19 @@
         return m_listener.on_refused(id, not_run_refusal(refusal_reason::leaving));
     if (request.deadline <= m_timers.now())
         return m_listener.on_refused(id, not_run_refusal(refusal_reason::deadline_expired));
+    const duration longest_wait =
+        from_seconds(to_seconds(request.deadline - m_timers.now()) * m_settings.max_wait_share);
+    if (expected_paced_wait(level) > std::min(m_settings.max_paced_wait, longest_wait))
+        return m_listener.on_refused(id, not_run_refusal(refusal_reason::upstream_limited, retry_after_shed));
     const duration wait = expected_wait(level);
     if (!can_meet_deadline(request.deadline, wait))
         return m_listener.on_refused(id, not_run_refusal(refusal_reason::deadline_unreachable));
-    if (to_seconds(wait) > to_seconds(request.deadline - m_timers.now()) * m_settings.max_wait_share) {
+    if (wait > longest_wait) {
         m_statistics.on_decision(m_timers.now(), request.organisation, level, false);
         return m_listener.on_refused(id, not_run_refusal(refusal_reason::queue_delay, retry_after_shed));
     }
     enqueue({std::move(request), m_timers.now()});
-    admit_while_slots_free();
+    admit_while_possible();
     shed_excess(level);
     arm_expiry();
 }
@@ -119,7 +136,7 @@
     const bool limit_reached = m_running.size() >= m_limiter.limit();
     m_running.erase(it);
     m_limiter.on_finish(m_timers.now(), service_time, result, limit_reached);
-    admit_while_slots_free();
+    admit_while_possible();
 }
 
 void admission_queue::implementation::begin_leaving()
@@ -134,19 +151,30 @@
     record_utilisation();
     m_settings.slots = std::max(slots, 1U);
     m_limiter.set_slots(slots);
-    admit_while_slots_free();
+    admit_while_possible();
+}
+
+void admission_queue::implementation::set_rate_limit(std::optional<double> per_second)
+{
+    record_utilisation();
+    m_pacer.set_rate(m_timers.now(), per_second);
+    m_timers.cancel(m_pacing_timer);
+    m_pacing_timer = 0;
+    admit_while_possible();
 }
 
 load_report admission_queue::implementation::report(std::string_view organisation) const
 {
     load_report result = m_statistics.report(m_timers.now(), organisation);
-    result.concurrency_limit = m_limiter.limit();
+    result.concurrency_limit = static_cast<std::uint32_t>(usable_concurrency());
     return result;
 }
 
-void admission_queue::implementation::admit_while_slots_free()
+void admission_queue::implementation::admit_while_possible()
 {
     while (m_running.size() < m_limiter.limit()) {
+        if (!m_pacer.allows(m_timers.now()))
+            return arm_pacing();
         const auto item = m_queue.pop();
         if (!item)
             return;
@@ -163,6 +191,16 @@
     }
 }
 
+void admission_queue::implementation::arm_pacing()
+{
+    if (m_pacing_timer != 0 || m_queue.size() == 0)
+        return;
+    m_pacing_timer = m_timers.schedule(m_pacer.time_until(m_timers.now(), 1), [this] {
+        m_pacing_timer = 0;
+        admit_while_possible();
+    });
+}
+
 void admission_queue::implementation::admit(const detail::waiting_request& item)
 {
     const time_point now = m_timers.now();
@@ -170,6 +208,7 @@
     m_statistics.on_wait(now, now - item.waiting_since);
     m_statistics.on_decision(now, item.request.organisation, item.request.level, true);
     m_running.emplace(item.request.id, item.request.level);
+    m_pacer.on_admitted(now);
     m_listener.on_admitted(item.request.id);
 }
 
@@ -178,7 +217,9 @@
     const time_point now = m_timers.now();
     m_order_check.check_shedding(item.request.level);
     m_statistics.on_wait(now, now - item.waiting_since);
-    m_statistics.on_decision(now, item.request.organisation, item.request.level, false);
+    // Entries admit fewer requests to the whole service when a guard sheds, but other upstreams may have no limit.
+    if (reason != refusal_reason::upstream_limited)
+        m_statistics.on_decision(now, item.request.organisation, item.request.level, false);
     m_listener.on_refused(item.request.id, not_run_refusal(reason, retry_after_shed));
 }
 
@@ -230,10 +271,34 @@
 
 duration admission_queue::implementation::expected_wait(importance level) const
 {
+    const duration paced_wait = expected_paced_wait(level);
     if (m_running.size() < m_limiter.limit())
-        return duration{0};
+        return paced_wait;
     const auto ahead = static_cast<std::int64_t>(m_queue.size_at_or_above(level));
-    return m_limiter.expected_service_time(m_timers.now()) * ahead / m_limiter.limit();
+    return std::max(paced_wait, m_limiter.expected_service_time(m_timers.now()) * ahead / m_limiter.limit());
+}
+
+/// Expected wait for the rate limit, while slots are free.
+duration admission_queue::implementation::expected_paced_wait(importance level) const
+{
+    return m_pacer.time_until(m_timers.now(), 1 + static_cast<double>(m_queue.size_at_or_above(level)));
+}
+
+/// Number of requests that run at once when all slots are used, or when the rate limit is reached. At least 1.
+double admission_queue::implementation::usable_concurrency() const
+{
+    const double limit = m_limiter.limit();
+    const duration service_time = m_limiter.expected_service_time(m_timers.now());
+    if (!m_pacer.is_limited() || service_time <= duration{0})
+        return limit;
+    return std::clamp(m_pacer.rate() * to_seconds(service_time), 1.0, limit);
+}
+
+/// Why a request could not be admitted in time.
+refusal_reason admission_queue::implementation::late_reason() const
+{
+    const bool slots_free = m_running.size() < m_limiter.limit();
+    return m_pacer.is_limited() && slots_free ? refusal_reason::upstream_limited : refusal_reason::queue_delay;
 }
 
 std::size_t admission_queue::implementation::queue_limit() const
@@ -256,11 +321,12 @@
 
 duration admission_queue::implementation::max_wait(importance level) const
 {
+    const duration paced_wait = m_pacer.is_limited() ? m_settings.max_paced_wait : duration{0};
     if (!has_standing_queue(level))
-        return burst_delay();
+        return std::max(burst_delay(), paced_wait);
     const double service_times_s =
         to_seconds(m_limiter.expected_service_time(m_timers.now())) * m_settings.standing_service_times;
-    return std::max(m_settings.standing_delay, from_seconds(service_times_s));
+    return std::max({m_settings.standing_delay, from_seconds(service_times_s), paced_wait});
 }
 
 void admission_queue::implementation::arm_expiry()
@@ -299,14 +365,14 @@
         on_removed(*item);
         for (const auto& each : less_important)
             shed(each, refusal_reason::importance_shed);
-        shed(*item, refusal_reason::queue_delay);
+        shed(*item, late_reason());
     }
 }
 
 void admission_queue::implementation::record_utilisation()
 {
     m_statistics.on_utilisation(m_timers.now(),
-                                static_cast<double>(m_running.size()) / static_cast<double>(m_limiter.limit()));
+                                std::min(static_cast<double>(m_running.size()) / usable_concurrency(), 1.0));
 }
 
 admission_queue::admission_queue(admission_settings settings, timer_service& timers, admission_listener& listener)
@@ -341,6 +407,11 @@
     m_implementation->set_slots(slots);
 }
 
+void admission_queue::set_rate_limit(std::optional<double> per_second)
+{
+    m_implementation->set_rate_limit(per_second);
+}
+
 load_report admission_queue::report(std::string_view organisation) const
 {
     return m_implementation->report(organisation);
--- a/src/plugins/admission/admissionqueue.h
+++ b/src/plugins/admission/admissionqueue.h
@@ -6,6 +6,7 @@
 #include "plugins/admission/loadreport.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,6 +32,9 @@
     /// Share of the time until its deadline that a request may be expected to wait, in (0, 1]. A request with a longer
     /// expected wait is refused immediately, so that there is time to try another upstream.
     double max_wait_share = 1;
+    /// Maximum expected wait for the upstream's rate limit. A request with a longer one is refused immediately, because
+    /// another upstream of the service may have no limit.
+    duration max_paced_wait{250'000};
     queue_order order = queue_order::oldest_first;
     /// If false, the concurrency limit is always the number of slots.
     bool learn_limit = true;
@@ -81,6 +85,8 @@
     void begin_leaving();
     /// Applies a changed number of slots.
     void set_slots(std::uint32_t slots);
+    /// Limits the admissions to a number per second; empty for no limit.
+    void set_rate_limit(std::optional<double> per_second);
 
     /// The current load as it applies to an organisation.
     load_report report(std::string_view organisation) const;
--- a/src/plugins/entry/entryload.cpp
+++ b/src/plugins/entry/entryload.cpp
@@ -54,7 +54,7 @@
 bool is_capacity_refusal(refusal_reason reason)
 {
     return reason == refusal_reason::queue_full || reason == refusal_reason::queue_delay ||
-           reason == refusal_reason::importance_shed;
+           reason == refusal_reason::importance_shed || reason == refusal_reason::upstream_limited;
 }
 
 } // namespace mulberry::detail
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -88,8 +88,10 @@
 {
     const bool same_run = status.instance == m_upstream_state.instance &&
                           status.instance_started_ms == m_upstream_state.instance_started_ms;
-    if (!same_run)
+    if (!same_run) {
         m_notices.reset();
+        m_admission.set_rate_limit(std::nullopt);
+    }
     m_upstream_state = std::move(status);
     if (!m_upstream_state.service.empty())
         m_settings.service = m_upstream_state.service;
@@ -269,6 +271,7 @@
     if (!m_notices.on_response(entry.admitted_at, m_timers.now(), *notice))
         return;
     const auto& limit = m_notices.current().rate_limit;
+    m_admission.set_rate_limit(limit);
     if (!limit)
         return log_info(log_part, "Upstream {} no longer limits its rate of requests.", m_upstream_state.instance);
     log_info(log_part, "Upstream {} accepts {:.1f} requests per second.", m_upstream_state.instance, *limit);
--- a/src/plugins/retry/retrypolicy.cpp
+++ b/src/plugins/retry/retrypolicy.cpp
@@ -17,6 +17,7 @@
     case refusal_reason::draining:
     case refusal_reason::upstream_unreachable:
     case refusal_reason::connection_lost:
+    case refusal_reason::upstream_limited:
         return retry_timing::immediate;
     case refusal_reason::queue_full:
     case refusal_reason::queue_delay:
--- a/tests/auto/plugins/admission/tst_admission.cpp
+++ b/tests/auto/plugins/admission/tst_admission.cpp
@@ -353,3 +353,30 @@
     BOOST_TEST(check.check_admission(importance::background));
     BOOST_TEST(order_violations() == before + 2);
 }
+
+// Guards against less important requests that use up the rate of a limited upstream.
+BOOST_AUTO_TEST_CASE(rate_limit_admits_important_requests_first)
+{
+    fixture limited({.slots = 10, .learn_limit = false});
+    limited.queue.set_rate_limit(10);
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence)
+        limited.offer(sequence, importance::background, "kiosk");
+    limited.offer(4, importance::critical, "kiosk");
+    limited.timers.advance(duration{150'000});
+    BOOST_TEST(limited.decisions.admitted_ids == (std::vector<std::uint64_t>{1, 4}), boost::test_tools::per_element());
+}
+
+// Guards against a wait for a limited upstream although another one may be free, and against another reason than the
+// limit in the account.
+BOOST_AUTO_TEST_CASE(excess_over_the_rate_limit_is_refused_at_once)
+{
+    fixture limited({.slots = 10, .learn_limit = false});
+    limited.queue.set_rate_limit(10);
+    for (std::uint64_t sequence = 1; sequence <= 5; ++sequence)
+        limited.offer(sequence, importance::normal, "kiosk");
+    BOOST_TEST(limited.decisions.refusals.size() == 2U);
+    for (const auto& [sequence, details] : limited.decisions.refusals)
+        BOOST_TEST((details.reason == refusal_reason::upstream_limited && details.result == outcome::not_run));
+    limited.timers.advance(duration{250'000});
+    BOOST_TEST(limited.decisions.admitted_ids.size() == 3U);
+}
--- a/tests/auto/plugins/guard/tst_upstreamrate.cpp
+++ b/tests/auto/plugins/guard/tst_upstreamrate.cpp
@@ -115,8 +115,8 @@
     void check_limit(double per_second, time_point from) const
     {
         const double allowed = per_second * to_seconds(counting_span) * allowed_ratio + allowed_excess;
-        BOOST_TEST(most_arrivals_in_span(from) <= allowed, per_second << " a second: " << most_arrivals_in_span(from)
-                                                                      << " arrivals, allowed " << allowed);
+        BOOST_TEST(most_arrivals_in_span(from) <= allowed,
+                   per_second << " a second: " << most_arrivals_in_span(from) << " arrivals, allowed " << allowed);
     }
 };
 
