Retry at an upstream without a limit when a limited one refuses

Guards report what their upstream says of itself in each response. An entry remembers it by node, and a request that a limited upstream has refused goes to one without a limit next, if there is one. The first attempt is placed as before.

--- a/src/plugins/calls/callcodec.cpp
+++ b/src/plugins/calls/callcodec.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <climits>
+#include <cmath>
 
 namespace mulberry {
 
@@ -71,6 +72,11 @@
     return !message.service().empty() && is_share(message.refused_share());
 }
 
+bool is_valid(const calls::proto::upstream_notice& message)
+{
+    return std::isfinite(message.rate_limit()) && message.rate_limit() >= 0;
+}
+
 bool is_valid(const calls::proto::call_answer& message)
 {
     const bool has_reason = message.reason() > 0;
@@ -83,7 +89,7 @@
            is_interval(load.queue_delay_us()) && load.threshold() < all_importances.size() &&
            is_share(load.admitted_share()) && load.utilisation() >= 0 && message.unused_retries() <= max_retries &&
            static_cast<std::size_t>(message.downstream_size()) <= max_downstream_loads &&
-           std::ranges::all_of(message.downstream(), is_valid_downstream);
+           std::ranges::all_of(message.downstream(), is_valid_downstream) && is_valid(message.notice());
 }
 
 void write_load(const load_report& load, calls::proto::load_report* message)
@@ -106,6 +112,22 @@
     return load;
 }
 
+void write_notice(const upstream_notice& notice, calls::proto::upstream_notice* message)
+{
+    if (notice.rate_limit)
+        message->set_rate_limit(*notice.rate_limit);
+    message->set_leaving(notice.leaving);
+}
+
+upstream_notice read_notice(const calls::proto::upstream_notice& message)
+{
+    upstream_notice notice;
+    if (message.has_rate_limit())
+        notice.rate_limit = message.rate_limit();
+    notice.leaving = message.leaving();
+    return notice;
+}
+
 bool parse(google::protobuf::MessageLite& message, std::string_view bytes)
 {
     return bytes.size() <= INT_MAX && message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
@@ -177,6 +199,8 @@
         entry->set_service(load.service);
         entry->set_refused_share(load.refused_share);
     }
+    if (response.notice != upstream_notice{})
+        write_notice(response.notice, message.mutable_notice());
     return message.SerializeAsString();
 }
 
@@ -234,6 +258,7 @@
     response.service_time = duration{message.service_time_us()};
     for (const auto& entry : message.downstream())
         response.downstream.push_back({entry.service(), entry.refused_share()});
+    response.notice = read_notice(message.notice());
     if (!are_valid_headers(response.headers))
         return captured_error<call_response>(call_error::malformed);
     return response;
--- a/src/plugins/calls/callresponse.h
+++ b/src/plugins/calls/callresponse.h
@@ -4,6 +4,7 @@
 #include "plugins/admission/downstreamload.h"
 #include "plugins/admission/loadreport.h"
 #include "plugins/calls/callrequest.h"
+#include "plugins/calls/upstreamnotice.h"
 
 #include <optional>
 #include <vector>
@@ -36,6 +37,8 @@
     load_report load;
     /// Overloaded services further downstream in the call graph.
     std::vector<downstream_load> downstream{};
+    /// What the upstream states about itself, as the guard knows it.
+    upstream_notice notice{};
     duration queue_wait{0};
     duration service_time{0};
 
--- a/src/plugins/entry/entryrequest.h
+++ b/src/plugins/entry/entryrequest.h
@@ -55,6 +55,8 @@
     bool may_have_run = false;
     /// Whether a guard refused an attempt because its upstream had no free capacity.
     bool refused_for_capacity = false;
+    /// Whether a guard refused an attempt because of the rate limit of its upstream.
+    bool refused_by_rate_limit = false;
     bool finished = false;
 
     std::vector<std::string> failed_upstreams;
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -46,7 +46,7 @@
 entry_service::entry_service(entry_settings settings, entry_dependencies dependencies)
     : m_settings(std::move(settings)), m_dependencies(dependencies), m_checks(m_settings, m_dependencies),
       m_load(m_dependencies), m_refusals(m_settings, dependencies.random),
-      m_retry(m_settings.retry, dependencies.timers, dependencies.random)
+      m_retry(m_settings.retry, dependencies.timers, dependencies.random), m_notices(dependencies.timers)
 {
 }
 
@@ -152,8 +152,15 @@
     if (request.parsed_idempotency_key)
         return request.parsed_idempotency_key->owner_node.name;
     routing_context context;
-    context.excluded_upstreams = request.failed_upstreams;
     context.request_bytes = size_of(request.input.headers, request.input.body);
+    if (request.refused_by_rate_limit) {
+        std::vector<std::string> avoided = m_notices.limited_upstreams();
+        avoided.insert(avoided.end(), request.failed_upstreams.begin(), request.failed_upstreams.end());
+        context.excluded_upstreams = avoided;
+        if (auto unlimited = m_dependencies.selector.choose(request.service, context))
+            return unlimited;
+    }
+    context.excluded_upstreams = request.failed_upstreams;
     auto chosen = m_dependencies.selector.choose(request.service, context);
     if (chosen || request.delivered_attempts > 0)
         return chosen;
@@ -256,6 +263,7 @@
 
 void entry_service::record_response(const request_state& request, const call_response& response)
 {
+    m_notices.record(request.upstream, response.notice);
     const duration latency = m_dependencies.timers.now() - request.sent_at;
     if (response.result != outcome::ran && response.failed_below) {
         m_dependencies.selector.on_abandoned(request.upstream);
@@ -302,6 +310,7 @@
 {
     if (failure.result != outcome::not_run)
         request->may_have_run = true;
+    request->refused_by_rate_limit |= failure.reason == refusal_reason::upstream_limited;
     request->refused_for_capacity |= detail::is_capacity_refusal(failure.reason);
     if (retry(request, failure, failed_downstream, retries_exhausted))
         return;
--- a/src/plugins/entry/entryservice.h
+++ b/src/plugins/entry/entryservice.h
@@ -7,6 +7,7 @@
 #include "plugins/entry/entryload.h"
 #include "plugins/entry/entryrequest.h"
 #include "plugins/entry/refusalwriter.h"
+#include "plugins/entry/upstreamnotices.h"
 
 #include <functional>
 #include <map>
@@ -84,6 +85,7 @@
     detail::entry_load m_load;
     detail::refusal_writer m_refusals;
     retry_policy m_retry;
+    detail::upstream_notices m_notices;
     std::map<std::string, std::unique_ptr<retry_budget>> m_budgets;
     std::unordered_map<entry_handle, request_ptr> m_requests;
     entry_handle m_last_handle = 0;
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -354,6 +354,7 @@
     response.receiver = m_settings.self.name;
     response.sequence = entry.request.attempt.sequence;
     response.load = m_admission.report(entry.request.organisation);
+    response.notice = m_notices.current();
     if (entry.is_running)
         response.queue_wait = entry.admitted_at - entry.received_at;
     if (entry.context) {
--- a/tests/auto/plugins/calls/tst_calls.cpp
+++ b/tests/auto/plugins/calls/tst_calls.cpp
@@ -45,6 +45,7 @@
     response.load.threshold = importance::normal;
     response.load.admitted_share = 0.5F;
     response.downstream = {{"workbench", 0.25F}};
+    response.notice = {13.4, true};
     return response;
 }
 
@@ -80,6 +81,7 @@
     BOOST_TEST((decoded_response->reason == response.reason));
     BOOST_TEST((decoded_response->load == response.load));
     BOOST_TEST((decoded_response->downstream == response.downstream));
+    BOOST_TEST((decoded_response->notice == response.notice));
 }
 
 // Guards against accepting invalid values from a faulty or hostile peer.
@@ -113,12 +115,13 @@
 // Guards against accepting a response with an invalid status, outcome, reason, load or header.
 BOOST_AUTO_TEST_CASE(invalid_responses_are_rejected)
 {
-    const std::array<std::function<void(call_response&)>, 6> faults{
+    const std::array<std::function<void(call_response&)>, 7> faults{
         [](call_response& a) { a.status = 0; },
         [](call_response& a) { a.status = 700; },
         [](call_response& a) { a.result = static_cast<outcome>(7); },
         [](call_response& a) { a.reason = static_cast<refusal_reason>(250); },
         [](call_response& a) { a.load.admitted_share = 2; },
+        [](call_response& a) { a.notice.rate_limit = -1; },
         [](call_response& a) {
             a.headers = {{"Set-Cookie", "a\nb"}};
         },
--- a/tests/auto/plugins/entry/tst_entry.cpp
+++ b/tests/auto/plugins/entry/tst_entry.cpp
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <memory>
+#include <set>
 
 #include <boost/test/unit_test.hpp>
 
@@ -70,10 +71,19 @@
     call_id send(std::string_view node, const call_request& request, call_callback done) override
     {
         calls.push_back(request);
-        if (script.empty())
+        call_response response;
+        if (limited.contains(node)) {
+            response.reason = refusal_reason::upstream_limited;
+            response.result = outcome::not_run;
+            response.notice.rate_limit = 5;
+        }
+        else if (script.empty()) {
             return calls.size();
-        call_response response = script.front();
-        script.pop_front();
+        }
+        else {
+            response = script.front();
+            script.pop_front();
+        }
         response.receiver = response.receiver.empty() ? std::string(node) : response.receiver;
         response.sequence = request.attempt.sequence;
         response.unused_retries = request.retries;
@@ -85,6 +95,8 @@
     timer_service& timers;
     std::deque<call_response> script;
     std::vector<call_request> calls;
+    /// Nodes that refuse all calls because their upstream limits its rate.
+    std::set<std::string, std::less<>> limited;
     int cancelled = 0;
 };
 
@@ -193,6 +205,19 @@
     BOOST_TEST(send() == 200);
 }
 
+// Guards against refusing a request although an upstream without a limit has room, because all its attempts went to
+// upstreams that limit their rate.
+BOOST_FIXTURE_TEST_CASE(all_attempts_end_at_limited_upstreams, entry_fixture)
+{
+    transport.limited = {"n1", "n2", "n3"};
+    for (int i = 0; i < 30; ++i)
+        send(); // the entry learns the limits
+    for (int i = 0; i < 60; ++i) {
+        transport.script = {make_response()};
+        BOOST_TEST(send() == 200);
+    }
+}
+
 // The address of a node that has left may be reused by another node. A refusal by that node proves that the request has
 // not run, so it is retried; any other response of that node must not be accepted as the response to the request.
 BOOST_FIXTURE_TEST_CASE(a_refusal_by_another_node_is_retried, entry_fixture)
