Tell a restarted guard the rate limit of its upstream

A guard that starts again knows no limit until the first response of its upstream, while the entries that had received such responses go on sending: in the test 111 requests in 4 s where 23 are allowed, over three restarts (tst_upstreamrate, restarted_guard_forgets_the_rate_of_its_upstream, failed before this change).

Each call now carries what its sender knows about the upstream. A guard that has not had a response of its own applies it; after the first response it ignores what senders know. An outdated limit thus lasts for one service time at most. No state is kept in the store, so it works while the store is away.

--- a/src/plugins/calls/callcodec.cpp
+++ b/src/plugins/calls/callcodec.cpp
@@ -59,12 +59,18 @@
     });
 }
 
+bool is_valid(const calls::proto::upstream_notice& message)
+{
+    return std::isfinite(message.rate_limit()) && message.rate_limit() >= 0;
+}
+
 bool is_valid(const calls::proto::call_request& message)
 {
     return !message.sender_name().empty() && message.sequence() > 0 && message.level() < all_importances.size() &&
            is_interval(message.remaining_us()) && message.retries() <= max_retries && message.depth() > 0 &&
            message.depth() <= max_depth && is_share(message.repeat_share()) && message.path().starts_with('/') &&
-           !has_line_break(message.path()) && !message.method().empty() && !has_line_break(message.method());
+           !has_line_break(message.path()) && !message.method().empty() && !has_line_break(message.method()) &&
+           is_valid(message.notice());
 }
 
 bool is_valid_downstream(const calls::proto::downstream_load& message)
@@ -72,11 +78,6 @@
     return !message.service().empty() && is_share(message.refused_share());
 }
 
-bool is_valid(const calls::proto::upstream_notice& message)
-{
-    return std::isfinite(message.rate_limit()) && message.rate_limit() >= 0;
-}
-
 bool is_valid(const calls::proto::call_answer& message)
 {
     const bool has_reason = message.reason() > 0;
@@ -172,6 +173,8 @@
     message.set_path(request.path);
     write_headers(request.headers, message.mutable_headers());
     message.set_body(request.body);
+    if (request.notice != upstream_notice{})
+        write_notice(request.notice, message.mutable_notice());
     return message.SerializeAsString();
 }
 
@@ -229,6 +232,7 @@
     request.path = message.path();
     request.headers = read_headers(message.mutable_headers());
     request.body = std::move(*message.mutable_body());
+    request.notice = read_notice(message.notice());
     if (!are_valid_headers(request.headers))
         return captured_error<call_request>(call_error::malformed);
     return request;
--- a/src/plugins/calls/callrequest.h
+++ b/src/plugins/calls/callrequest.h
@@ -3,6 +3,7 @@
 #include "libs/base/identifiers.h"
 #include "libs/base/importance.h"
 #include "libs/base/time.h"
+#include "plugins/calls/upstreamnotice.h"
 
 #include <cstdint>
 #include <string>
@@ -48,6 +49,8 @@
     std::string path;
     header_list headers;
     std::string body;
+    /// What the sender knows about the upstream from its responses. The receiver may have restarted since then.
+    upstream_notice notice{};
 };
 
 } // namespace mulberry
--- a/src/plugins/calls/upstreamnotice.cpp
+++ b/src/plugins/calls/upstreamnotice.cpp
@@ -1,7 +1,5 @@
 #include "plugins/calls/upstreamnotice.h"
 
-#include "plugins/calls/headerpolicy.h"
-
 #include <charconv>
 #include <cmath>
 #include <string_view>
@@ -13,7 +11,7 @@
 
 constexpr std::string_view leaving_value = "1";
 
-std::string_view find_notice(const header_list& headers, const std::string& name)
+std::string_view find_notice(const http_headers& headers, const std::string& name)
 {
     return name.empty() ? std::string_view() : find_header(headers, name);
 }
@@ -30,7 +28,7 @@
 
 } // namespace
 
-std::optional<upstream_notice> read_upstream_notice(const header_list& headers, const field_names& names)
+std::optional<upstream_notice> read_upstream_notice(const http_headers& headers, const field_names& names)
 {
     upstream_notice notice;
     const std::string_view rate = find_notice(headers, names.rate_limit);
--- a/src/plugins/calls/upstreamnotice.h
+++ b/src/plugins/calls/upstreamnotice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "plugins/calls/callrequest.h"
+#include "libs/http/httpfields.h"
 #include "plugins/calls/fieldnames.h"
 
 #include <optional>
@@ -18,6 +18,6 @@
 };
 
 /// Reads the notice from the header of a response. Empty if a field is malformed.
-std::optional<upstream_notice> read_upstream_notice(const header_list& headers, const field_names& names);
+std::optional<upstream_notice> read_upstream_notice(const http_headers& headers, const field_names& names);
 
 } // namespace mulberry
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -230,6 +230,7 @@
     if (m_settings.fields.forwards_host)
         call.headers.emplace_back(host_header, request.input.host);
     call.body = request.input.body;
+    call.notice = m_notices.find(request.upstream);
     return call;
 }
 
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -109,6 +109,8 @@
         call rejected{std::move(request), std::move(callback), now, now, {}, nullptr, {}, 0, false, false};
         return refuse(rejected, *refused);
     }
+    if (m_notices.on_sender_notice(now, request.notice))
+        apply_notice();
     const importance level = request.level;
     std::string organisation = request.organisation;
     call& entry = m_calls[id];
@@ -268,8 +270,12 @@
     // An upstream that has not run the request may be another one than the one that named the limit.
     if (!notice->rate_limit && reports_not_executed(response))
         return;
-    if (!m_notices.on_response(entry.admitted_at, m_timers.now(), *notice))
-        return;
+    if (m_notices.on_response(entry.admitted_at, m_timers.now(), *notice))
+        apply_notice();
+}
+
+void guard_service::apply_notice()
+{
     const auto& limit = m_notices.current().rate_limit;
     m_admission.set_rate_limit(limit);
     if (!limit)
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -123,6 +123,7 @@
     bool is_leaving_grace_over() const;
     bool reports_not_executed(const http_response& response) const;
     void record_notice(const call& entry, const http_response& response);
+    void apply_notice();
     void respond_not_executed(call& entry, const http_response& response);
     bool apply_idempotency_key(call& entry);
     void forward_to_upstream(call& entry);
--- a/tests/auto/plugins/calls/tst_calls.cpp
+++ b/tests/auto/plugins/calls/tst_calls.cpp
@@ -31,6 +31,7 @@
     request.path = "/reserve?x=1";
     request.headers = {{"Accept", "text/plain"}, {"X-Bytes", std::string("\xff\x80", 2)}};
     request.body = std::string("\0body", 5);
+    request.notice = {2.5, false};
     return request;
 }
 
@@ -74,6 +75,7 @@
     BOOST_TEST(decoded->repeat_share == request.repeat_share);
     BOOST_TEST(decoded->receiver == request.receiver);
     BOOST_TEST(decoded->body == request.body);
+    BOOST_TEST((decoded->notice == request.notice));
     call_response response = sample_response();
     response.reason = refusal_reason::key_missing; // the first enumerator must be distinguishable from "no reason"
     const auto decoded_response = decode_call_response(encode(response));
@@ -87,8 +89,9 @@
 // Guards against accepting invalid values from a faulty or hostile peer.
 BOOST_AUTO_TEST_CASE(invalid_requests_are_rejected)
 {
-    const std::array<std::function<void(call_request&)>, 12> faults{
+    const std::array<std::function<void(call_request&)>, 13> faults{
         [](call_request& r) { r.repeat_share = 1.5F; },
+        [](call_request& r) { r.notice.rate_limit = -1; },
         [](call_request& r) { r.attempt.sender.name.clear(); },
         [](call_request& r) { r.attempt.sequence = 0; },
         [](call_request& r) { r.level = static_cast<importance>(9); },
@@ -145,7 +148,7 @@
         if (!decoded)
             continue;
         BOOST_TEST((decoded->body != sample_request().body || decoded->headers != sample_request().headers ||
-                    decoded->receiver != sample_request().receiver));
+                    decoded->receiver != sample_request().receiver || decoded->notice != sample_request().notice));
     }
     for (int i = 0; i < 2000; ++i) {
         std::string corrupted = encoded;
--- a/tests/auto/plugins/entry/tst_entry.cpp
+++ b/tests/auto/plugins/entry/tst_entry.cpp
@@ -218,6 +218,26 @@
     }
 }
 
+// Guards against an entry that does not pass on the limit of an upstream to its node, which may have restarted.
+BOOST_FIXTURE_TEST_CASE(limit_is_not_passed_on_to_the_guard, entry_fixture)
+{
+    for (const char* name : {"n1", "n2", "n3", "n4"}) {
+        call_response limited = make_response();
+        limited.receiver = name;
+        limited.notice.rate_limit = 2;
+        transport.script.assign(1, limited);
+        selector.update(std::vector{
+            upstream_info{name, 1, "orders", {"quay", "south"}, upstream_state::serving, timers.now() - 1h}});
+        send();
+        transport.script = {make_response()};
+        send();
+        BOOST_TEST((transport.calls.back().notice.rate_limit == 2.0));
+        transport.script = {make_response()};
+        send();
+        BOOST_TEST(!transport.calls.back().notice.rate_limit);
+    }
+}
+
 // The address of a node that has left may be reused by another node. A refusal by that node proves that the request has
 // not run, so it is retried; any other response of that node must not be accepted as the response to the request.
 BOOST_FIXTURE_TEST_CASE(a_refusal_by_another_node_is_retried, entry_fixture)
--- a/tests/auto/plugins/guard/tst_upstreamrate.cpp
+++ b/tests/auto/plugins/guard/tst_upstreamrate.cpp
@@ -40,6 +40,8 @@
     std::vector<time_point> arrivals;
     std::size_t refused_as_not_run = 0;
     std::uint64_t last_sequence = 0;
+    /// What the sender of the calls knows of the upstream, from the last response.
+    upstream_notice known_notice;
 
     limited_upstream_fixture()
     {
@@ -78,6 +80,7 @@
         call.method = "GET";
         call.path = "/list";
         call.idempotent = true;
+        call.notice = known_notice;
         return call;
     }
 
@@ -85,6 +88,7 @@
     {
         guard->handle("entry-1", call, [this](const call_response& response) {
             refused_as_not_run += response.result == outcome::not_run ? 1 : 0;
+            known_notice = response.notice;
         });
     }
 
@@ -183,6 +187,37 @@
     BOOST_TEST(arrivals.size() >= 95U);
 }
 
+// Guards against a restarted node that passes on requests freely until the first response tells it the limit again.
+BOOST_FIXTURE_TEST_CASE(restarted_guard_forgets_the_rate_of_its_upstream, limited_upstream_fixture)
+{
+    upstream.set_faults({.service_time = 500ms});
+    name_limit(3);
+    const time_point named_at = timers.now();
+    send_calls(5s, 100);
+    for (int restart = 0; restart < 3; ++restart) {
+        guard->refuse_all(refusal_reason::draining);
+        guard = make_guard();
+        known_notice = {3.0, false};
+        send_calls(2s, 100);
+    }
+    check_limit(3, named_at + binding_delay);
+}
+
+// Guards against a sender's older knowledge that replaces what the upstream itself has said since.
+BOOST_FIXTURE_TEST_CASE(knowledge_of_a_sender_replaces_that_of_the_guard, limited_upstream_fixture)
+{
+    send_calls(500ms, 50);
+    arrivals.clear();
+    known_notice = {0.5, false};
+    for (int i = 0; i < 50; ++i) {
+        call_request call = next_call();
+        call.notice = {0.5, false};
+        send(call);
+    }
+    timers.advance(1s);
+    BOOST_TEST(arrivals.size() == 50U);
+}
+
 // Guards against refusals that promise too much or too little: what waits for a limited upstream has not run.
 BOOST_FIXTURE_TEST_CASE(excess_calls_are_not_refused_as_not_run, limited_upstream_fixture)
 {
