Take an upstream out of service when its responses say that it is leaving

An upstream that is leaving now says so in all its responses (Server-Leaving). The node beside it learned of the leaving from announcements only, and a restarted node from the registry only: with the store away it put the leaving upstream back into service.

The guard reports the first such response, and the upstream counts as leaving from then on for the rest of its run. Responses name the run that is leaving, and calls carry that back, so that a restarted guard refuses at once. The run is compared, so knowledge about an earlier run does not affect the next one. A 421 comes from another upstream and says nothing about this one.

tst_sidecarnode: without the first part upstream_that_responds_as_leaving and leaving_upstream_gets_work_after_a_restart_of_its_node fail; without the second part only the latter does.

--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -115,6 +115,7 @@
     m_downstream = std::make_unique<downstream_monitor>(m_timers);
     m_bottlenecks = std::make_unique<bottleneck_throttle>(bottleneck_throttle_settings{}, m_timers, environment.random);
     guard.downstream_report = [this] { return m_downstream->report(); };
+    guard.on_upstream_leaving = [this](leaving_source source) { on_upstream_leaving(source); };
     m_guard = std::make_unique<guard_service>(std::move(guard), m_timers, environment.secure_random,
                                               environment.upstream, environment.observer);
     m_transport = std::make_unique<local_transport>(m_self.name, m_timers, *m_guard, environment.network);
@@ -181,6 +182,18 @@
     publish_state();
 }
 
+void sidecar_node::on_upstream_leaving(leaving_source source)
+{
+    const auto& upstream = m_upstream.current();
+    if (!upstream)
+        return;
+    upstream_report report = upstream->last_report;
+    if (source == leaving_source::upstream)
+        return m_upstream.deregister(report.instance, report.born_ms);
+    report.leaving = true;
+    m_upstream.restore(std::move(report));
+}
+
 void sidecar_node::publish_state()
 {
     const auto& upstream = m_upstream.current();
--- a/src/app/sidecar/sidecarnode.h
+++ b/src/app/sidecar/sidecarnode.h
@@ -67,6 +67,8 @@
     class drain_adapter;
 
     void on_upstream_changed(const tracked_upstream& upstream);
+    /// Marks the upstream as leaving because of one of its responses, even if it has not announced that.
+    void on_upstream_leaving(leaving_source source);
     void on_member_changed(const member& changed) override;
     /// Restores what an earlier run of this node published about its upstream, until the upstream reports again.
     void restore_upstream(const member& previous_run);
--- a/src/plugins/calls/callcodec.cpp
+++ b/src/plugins/calls/callcodec.cpp
@@ -118,6 +118,8 @@
     if (notice.rate_limit)
         message->set_rate_limit(*notice.rate_limit);
     message->set_leaving(notice.leaving);
+    message->set_instance(notice.instance);
+    message->set_instance_started_ms(notice.instance_started_ms);
 }
 
 upstream_notice read_notice(const calls::proto::upstream_notice& message)
@@ -126,6 +128,8 @@
     if (message.has_rate_limit())
         notice.rate_limit = message.rate_limit();
     notice.leaving = message.leaving();
+    notice.instance = message.instance();
+    notice.instance_started_ms = message.instance_started_ms();
     return notice;
 }
 
--- a/src/plugins/calls/upstreamnotice.h
+++ b/src/plugins/calls/upstreamnotice.h
@@ -3,7 +3,9 @@
 #include "libs/http/httpfields.h"
 #include "plugins/calls/fieldnames.h"
 
+#include <cstdint>
 #include <optional>
+#include <string>
 
 namespace mulberry {
 
@@ -11,8 +13,11 @@
 struct upstream_notice {
     /// Requests per second that the upstream accepts from all nodes together; empty if it names no limit.
     std::optional<double> rate_limit;
-    /// Whether the upstream is leaving.
+    /// Whether the upstream is leaving. In messages between nodes, the next members name the run of the upstream that
+    /// is: its instance and its start in milliseconds since the Unix epoch.
     bool leaving = false;
+    std::string instance{};
+    std::int64_t instance_started_ms = 0;
 
     bool operator==(const upstream_notice&) const = default;
 };
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -109,8 +109,7 @@
         call rejected{std::move(request), std::move(callback), now, now, {}, nullptr, {}, 0, false, false};
         return refuse(rejected, *refused);
     }
-    if (m_notices.on_sender_notice(now, request.notice))
-        apply_notice();
+    apply_sender_notice(request.notice);
     const importance level = request.level;
     std::string organisation = request.organisation;
     call& entry = m_calls[id];
@@ -267,14 +266,46 @@
     const auto notice = read_upstream_notice(response.headers, m_settings.fields);
     if (!notice)
         return log_warning(log_part, "Ignoring a malformed rate limit of the upstream.");
-    // An upstream that has not run the request may be another one than the one that named the limit.
-    if (!notice->rate_limit && reports_not_executed(response))
+    const bool other_upstream = response.status == status_misdirected;
+    // An upstream that rejects a request need not state anything in that response.
+    if (other_upstream || (*notice == upstream_notice{} && reports_not_executed(response)))
         return;
+    if (notice->leaving)
+        report_leaving(leaving_source::upstream);
     if (m_notices.on_response(entry.admitted_at, m_timers.now(), *notice))
-        apply_notice();
+        apply_rate_limit();
 }
 
-void guard_service::apply_notice()
+void guard_service::apply_sender_notice(const upstream_notice& notice)
+{
+    if (m_notices.on_sender_notice(m_timers.now(), notice))
+        apply_rate_limit();
+    const bool same_run = notice.instance == m_upstream_state.instance &&
+                          notice.instance_started_ms == m_upstream_state.instance_started_ms;
+    if (notice.leaving && same_run)
+        report_leaving(leaving_source::sender);
+}
+
+void guard_service::report_leaving(leaving_source source)
+{
+    if (!m_upstream_state.leaving_since && m_settings.on_upstream_leaving)
+        m_settings.on_upstream_leaving(source);
+}
+
+/// What senders should know about the upstream when this node restarts.
+upstream_notice guard_service::own_notice() const
+{
+    upstream_notice notice;
+    notice.rate_limit = m_notices.current().rate_limit;
+    if (!m_upstream_state.leaving_since)
+        return notice;
+    notice.leaving = true;
+    notice.instance = m_upstream_state.instance;
+    notice.instance_started_ms = m_upstream_state.instance_started_ms;
+    return notice;
+}
+
+void guard_service::apply_rate_limit()
 {
     const auto& limit = m_notices.current().rate_limit;
     m_admission.set_rate_limit(limit);
@@ -360,7 +391,7 @@
     response.receiver = m_settings.self.name;
     response.sequence = entry.request.attempt.sequence;
     response.load = m_admission.report(entry.request.organisation);
-    response.notice = m_notices.current();
+    response.notice = own_notice();
     if (entry.is_running)
         response.queue_wait = entry.admitted_at - entry.received_at;
     if (entry.context) {
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -19,6 +19,10 @@
 
 namespace mulberry {
 
+/// How a guard has learned that its upstream is leaving: from a response of the upstream, or from the sender of a call,
+/// which had such a response before this node restarted.
+enum class leaving_source : std::uint8_t { upstream, sender };
+
 struct guard_settings {
     node_id self;
     std::string service;
@@ -40,6 +44,8 @@
     /// Returns the downstream loads to include in responses: how overloaded the services are that the upstream calls.
     /// If empty, responses contain none.
     std::function<std::vector<downstream_load>()> downstream_report;
+    /// Called when the guard learns that its upstream is leaving. May be empty.
+    std::function<void(leaving_source)> on_upstream_leaving;
 };
 
 /// State of the upstream beside this node, as the upstream announced it.
@@ -123,7 +129,10 @@
     bool is_leaving_grace_over() const;
     bool reports_not_executed(const http_response& response) const;
     void record_notice(const call& entry, const http_response& response);
-    void apply_notice();
+    void apply_rate_limit();
+    void apply_sender_notice(const upstream_notice& notice);
+    void report_leaving(leaving_source source);
+    upstream_notice own_notice() const;
     void respond_not_executed(call& entry, const http_response& response);
     bool apply_idempotency_key(call& entry);
     void forward_to_upstream(call& entry);
