--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -149,7 +149,7 @@
 };
 
 sidecar_daemon::sidecar_daemon(const sidecar_settings& settings, platform_adapter& platform, event_loop& loop)
-    : m_settings(settings), m_platform(platform), m_loop(loop), m_timers(loop), m_random(m_secure_random.next()),
+    : m_settings(settings), m_loop(loop), m_timers(loop), m_random(m_secure_random.next()),
       m_observer(m_metrics, [this] { return view_age(); }), m_store_http(loop, m_timers, store_client_settings()),
       m_upstream_http(loop, m_timers, upstream_client_settings(settings)),
       m_store(platform.make_store(m_store_http, m_timers)),
@@ -160,9 +160,9 @@
                       m_timers, m_random, [this] { return known_members(); }),
       m_relay_port(m_relayed_store, m_timers)
 {
-    store_follower_listener& listener = *this;
-    m_configuration =
-        std::make_unique<store_follower>(m_timers, m_random, m_relayed_store, platform.configuration_key(), listener);
+    m_configuration = std::make_unique<configuration_follower>(
+        m_timers, m_random, m_relayed_store, platform,
+        [this](host_configuration configuration) { apply_configuration(std::move(configuration)); });
     const sidecar_environment environment{
         m_timers,        m_random,    m_secure_random,
         m_relayed_store, m_transport, m_control,
@@ -261,31 +261,8 @@
     return m_node->registry().members();
 }
 
-void sidecar_daemon::on_snapshot(std::span<const store_entry> entries, std::int64_t /*revision*/)
+void sidecar_daemon::apply_configuration(host_configuration configuration)
 {
-    for (const store_entry& entry : entries)
-        apply_configuration(entry);
-}
-
-void sidecar_daemon::on_changes(std::span<const watch_event> events)
-{
-    for (const watch_event& event : events) {
-        if (!event.deleted)
-            apply_configuration(event.entry);
-    }
-}
-
-void sidecar_daemon::apply_configuration(const store_entry& entry)
-{
-    if (entry.key != m_platform.configuration_key() || entry.mod_revision <= m_configuration_revision)
-        return;
-    m_configuration_revision = entry.mod_revision;
-    auto decoded = m_platform.decode_configuration(entry.value);
-    if (const auto* problem = std::get_if<std::string>(&decoded)) {
-        return log_error(log_part, "Ignoring the invalid configuration at revision {}: {}.", entry.mod_revision,
-                         *problem);
-    }
-    auto& configuration = std::get<host_configuration>(decoded);
     apply_limits(configuration.limits);
     m_node->apply(std::move(configuration));
 }
--- a/src/app/sidecar/sidecardaemon.h
+++ b/src/app/sidecar/sidecardaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/callerport/callerport.h"
+#include "app/sidecar/configurationfollower.h"
 #include "app/sidecar/decisionlogger.h"
 #include "app/sidecar/platformadapter.h"
 #include "app/sidecar/sidecarnode.h"
@@ -15,7 +16,6 @@
 #include "libs/peer/peerrouter.h"
 #include "libs/peer/peerserver.h"
 #include "libs/peer/plainsecurity.h"
-#include "libs/store/storefollower.h"
 #include "plugins/storerelay/relayedstore.h"
 #include "plugins/storerelay/relayport.h"
 
@@ -28,7 +28,7 @@
 std::string_view to_string(sidecar_error error);
 
 /// Runs a sidecar_node in a process: owns its event loop timers, sockets, store client and metrics.
-class sidecar_daemon final : private address_lookup, private store_follower_listener {
+class sidecar_daemon final : private address_lookup {
 public:
     sidecar_daemon(const sidecar_settings& settings, platform_adapter& platform, event_loop& loop);
     ~sidecar_daemon() override;
@@ -46,15 +46,12 @@
     leaf::result<void> listen(http1_server& server, const network_endpoint& endpoint);
     std::optional<std::string> find_address(std::string_view node_name) const override;
     std::span<const member> known_members() const;
-    void on_snapshot(std::span<const store_entry> entries, std::int64_t revision) override;
-    void on_changes(std::span<const watch_event> events) override;
-    void apply_configuration(const store_entry& entry);
+    void apply_configuration(host_configuration configuration);
     void finish_stop();
     void apply_limits(const host_limits& limits);
     duration view_age() const;
 
     sidecar_settings m_settings;
-    platform_adapter& m_platform;
     event_loop& m_loop;
     asio_timer_service m_timers;
     secure_random_source m_secure_random;
@@ -72,7 +69,7 @@
     peer_transport m_transport;
     relayed_store m_relayed_store;
     relay_port m_relay_port;
-    std::unique_ptr<store_follower> m_configuration;
+    std::unique_ptr<configuration_follower> m_configuration;
     std::unique_ptr<sidecar_node> m_node;
     std::unique_ptr<call_handler> m_calls;
     std::unique_ptr<caller_port> m_caller_port;
@@ -83,7 +80,6 @@
     std::unique_ptr<http1_server> m_readiness;
     std::unique_ptr<http1_server> m_announcements;
     std::unique_ptr<http1_server> m_metrics_server;
-    std::int64_t m_configuration_revision = 0;
     time_point m_stopping_since;
     std::size_t m_aborted_requests = 0;
 };
