--- a/tests/auto/platform/tst_kvstore.cpp
+++ b/tests/auto/platform/tst_kvstore.cpp
@@ -81,7 +81,8 @@
                 outcome = result->applied ? "applied" : "conflict";
                 return;
             }
-            outcome = to_string(error_of(std::move(result), store_error::bad_answer));
+            leaf::result<void> failure = result.error();
+            outcome = to_string(error_of(std::move(failure), store_error::bad_answer));
         });
         timers.advance(5s);
         return outcome;
