Keep the list of nodes when the store goes back to an older copy

A node that sees a new generation requests a lease and writes its entry at once. Records have a sequence within an incarnation, by which the first entry after a restore is compared with the known one.

--- a/src/plugins/membership/member.h
+++ b/src/plugins/membership/member.h
@@ -32,6 +32,8 @@
     /// Whether that upstream has announced that it is leaving. A restarted node must not put it back into service when
     /// a delayed announcement arrives.
     bool upstream_leaving = false;
+    /// Increases with each change of the record within one incarnation. Used where records have no other order.
+    std::uint64_t sequence = 0;
 
     bool operator==(const member&) const = default;
 };
--- a/src/plugins/registry/registryentry.cpp
+++ b/src/plugins/registry/registryentry.cpp
@@ -37,7 +37,8 @@
                           {"instance", node.instance},
                           {"slots", node.slots},
                           {"born", node.instance_started_ms},
-                          {"upstream_leaving", node.upstream_leaving ? 1 : 0}}
+                          {"upstream_leaving", node.upstream_leaving ? 1 : 0},
+                          {"sequence", node.sequence}}
         .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -65,6 +66,7 @@
     node.slots = field<unsigned>(object, "slots").value_or(0);
     node.instance_started_ms = field<std::int64_t>(object, "born").value_or(0);
     node.upstream_leaving = field<unsigned>(object, "upstream_leaving").value_or(0) != 0;
+    node.sequence = field<std::uint64_t>(object, "sequence").value_or(0);
     return node;
 }
 
--- a/src/plugins/registry/storeregistry.cpp
+++ b/src/plugins/registry/storeregistry.cpp
@@ -2,6 +2,7 @@
 
 #include "libs/base/asyncerror.h"
 #include "libs/base/log.h"
+#include "libs/store/revision.h"
 #include "plugins/registry/registryentry.h"
 
 #include <algorithm>
@@ -25,6 +26,14 @@
 constexpr std::string_view members_prefix = "members/";
 constexpr std::string_view secret_key = "secret";
 
+/// Whether an entry that the store has after it was restored is older than a known one.
+bool is_older(const member& entry, const member& known)
+{
+    if (entry.id.incarnation != known.id.incarnation)
+        return entry.id.incarnation < known.id.incarnation;
+    return entry.sequence < known.sequence;
+}
+
 } // namespace
 
 store_registry::store_registry(registry_settings settings, member self, timer_service& timers, random_source& random,
@@ -61,6 +70,7 @@
     next.upstream_leaving = state.upstream_leaving;
     if (next == m_self)
         return;
+    ++next.sequence;
     m_self = std::move(next);
     m_nodes[m_self.id.name] = {m_self, m_own_revision, std::nullopt};
     rebuild_members();
@@ -101,10 +111,15 @@
 
 void store_registry::on_snapshot(std::span<const store_entry> entries, std::int64_t revision)
 {
+    if (generation_of(revision) > generation_of(m_snapshot_revision) && m_has_joined)
+        on_store_restored(revision);
+    m_snapshot_revision = std::max(m_snapshot_revision, revision);
+    bool has_secret = false;
     std::set<std::string, std::less<>> present;
     for (const store_entry& entry : entries) {
         apply(entry);
         const std::string_view name = std::string_view(entry.key).substr(m_settings.prefix.size());
+        has_secret |= name == secret_key;
         if (name.starts_with(members_prefix))
             present.emplace(name.substr(members_prefix.size()));
     }
@@ -113,7 +128,7 @@
             mark_absent(name, revision);
     }
     m_has_joined = true;
-    if (m_secret.empty())
+    if (!has_secret)
         create_secret();
     rebuild_members();
     notify(m_self);
@@ -134,6 +149,14 @@
     notify(m_self);
 }
 
+void store_registry::on_store_restored(std::int64_t revision)
+{
+    log_warning(log_part, "The store has been restored; its revision is {}.", format_revision(revision));
+    m_own_revision = 0;
+    m_lease = 0;
+    request_lease();
+}
+
 void store_registry::apply(const store_entry& entry)
 {
     const std::string_view name = std::string_view(entry.key).substr(m_settings.prefix.size());
@@ -147,26 +170,37 @@
         log_warning(log_part, "The entry {} is invalid and is ignored.", entry.key);
         return;
     }
-    if (node_name == m_self.id.name) {
-        if (entry.mod_revision < m_own_revision)
-            return;
-        m_own_revision = entry.mod_revision;
-        if (decoded->id.incarnation != m_self.id.incarnation && m_on_earlier_run)
-            std::exchange(m_on_earlier_run, nullptr)(*decoded);
-        if (*decoded != m_self)
-            publish();
-        return;
-    }
+    if (node_name == m_self.id.name)
+        return apply_own(entry, *decoded);
     const auto known = m_nodes.find(node_name);
     if (known != m_nodes.end() && known->second.revision > entry.mod_revision)
         return;
+    // The restored copy may have an older entry than the one that was received before the loss. The node itself writes
+    // its entry again.
+    const bool is_first_after_restore =
+        known != m_nodes.end() && generation_of(known->second.revision) < generation_of(entry.mod_revision);
+    if (is_first_after_restore && is_older(*decoded, known->second.node)) {
+        known->second.revision = entry.mod_revision;
+        return;
+    }
     if (known == m_nodes.end() || known->second.node != *decoded) {
         log_info(log_part, "Node {} of {} is {} (incarnation {}, revision {}).", node_name, decoded->service,
-                 to_string(decoded->state), decoded->id.incarnation, entry.mod_revision);
+                 to_string(decoded->state), decoded->id.incarnation, format_revision(entry.mod_revision));
     }
     m_nodes[std::string(node_name)] = {std::move(*decoded), entry.mod_revision, std::nullopt};
 }
 
+void store_registry::apply_own(const store_entry& entry, const member& decoded)
+{
+    if (entry.mod_revision < m_own_revision)
+        return;
+    m_own_revision = entry.mod_revision;
+    if (decoded.id.incarnation != m_self.id.incarnation && m_on_earlier_run)
+        std::exchange(m_on_earlier_run, nullptr)(decoded);
+    if (decoded != m_self)
+        publish();
+}
+
 void store_registry::mark_absent(std::string_view name, std::int64_t revision)
 {
     if (name == m_self.id.name) {
@@ -234,7 +268,10 @@
 
 void store_registry::create_secret()
 {
-    std::string value = fmt::format("{:016x}{:016x}", m_secure_random.next(), m_secure_random.next());
+    // A secret that the store has lost is written again, so that nodes that start later use the same one.
+    std::string value = m_secret;
+    if (value.empty())
+        value = fmt::format("{:016x}{:016x}", m_secure_random.next(), m_secure_random.next());
     const std::string key = m_settings.prefix + std::string(secret_key);
     m_store.put_if(key, 0, value, 0,
                    [this, value, alive = std::weak_ptr<int>(m_alive)](const leaf::result<put_result>& result) {
--- a/src/plugins/registry/storeregistry.h
+++ b/src/plugins/registry/storeregistry.h
@@ -67,7 +67,10 @@
     void on_snapshot(std::span<const store_entry> entries, std::int64_t revision) override;
     void on_changes(std::span<const watch_event> events) override;
 
+    /// The store has gone back to an older copy: the lease and the own entry may be gone.
+    void on_store_restored(std::int64_t revision);
     void apply(const store_entry& entry);
+    void apply_own(const store_entry& entry, const member& decoded);
     void mark_absent(std::string_view name, std::int64_t revision);
     void remove_absent_nodes();
     void forget_dead_nodes();
@@ -99,6 +102,8 @@
     std::string m_secret;
     lease_id m_lease = 0;
     std::int64_t m_own_revision = 0;
+    // Revision of the last snapshot.
+    std::int64_t m_snapshot_revision = 0;
     bool m_has_joined = false;
     bool m_has_left = false;
     bool m_is_publishing = false;
--- a/tests/auto/plugins/storerelay/tst_storerelay.cpp
+++ b/tests/auto/plugins/storerelay/tst_storerelay.cpp
@@ -210,4 +210,37 @@
     }
 }
 
+// Guards against a fleet that stays with the state before a restore of the store: nodes that read through a relay,
+// nodes that were cut off meanwhile, and nodes that start afterwards.
+BOOST_AUTO_TEST_CASE(changes_after_a_restore_do_not_reach_all_nodes)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        joined_fleet fleet(6, seed);
+        fleet.store.take_copy();
+        for (int i = 0; i < 4; ++i)
+            fleet.change_configuration();
+        BOOST_REQUIRE(fleet.run(1s));
+        fleet.isolated = {joined_fleet::name(1, 0), joined_fleet::name(2, 3)};
+        for (const std::string& name : fleet.isolated)
+            fleet.nodes[name]->connection().set_faults(unreachable());
+        fleet.store.restore_copy();
+        fleet.change_configuration();
+        fleet.start("d0-late", "d0");
+        BOOST_REQUIRE(fleet.run(2500ms));
+        for (const auto& [name, node] : fleet.nodes) {
+            const bool is_cut = std::ranges::find(fleet.isolated, name) != fleet.isolated.end();
+            BOOST_TEST((is_cut || node->version() == fleet.version), name << " with seed " << seed);
+        }
+        for (const std::string& name : fleet.isolated)
+            fleet.nodes[name]->connection().set_faults({});
+        fleet.isolated.clear();
+        BOOST_REQUIRE(fleet.run(3s));
+        BOOST_TEST(fleet.all_have_current_version());
+        for (const auto& [name, node] : fleet.nodes) {
+            for (const auto& [other, ignored] : fleet.nodes)
+                BOOST_TEST((name == other || node->registry().find(other) != nullptr), name << " lacks " << other);
+        }
+    }
+}
+
 } // namespace mulberry
