Give the nodes of the restore tests secrets of their own

With equal seeds both nodes created the same secret, so the test of the lost secret passed without the change that it guards. It now fails without it.

--- a/tests/auto/platform/tst_restoredstore.cpp
+++ b/tests/auto/platform/tst_restoredstore.cpp
@@ -4,6 +4,7 @@
 #include "platform/adapter.h"
 #include "plugins/registry/storeregistry.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,7 +32,7 @@
 /// A node that follows the configuration and the list of nodes.
 struct store_client {
     store_client(virtual_timer_service& timers, fake_kv_server& server, const std::string& name)
-        : platform("s:1"), store(platform.make_store(server, timers)),
+        : random(std::hash<std::string>()(name)), platform("s:1"), store(platform.make_store(server, timers)),
           registry({}, make_member(name), timers, random, random, *store),
           configuration(timers, random, *store, platform,
                         [this](const host_configuration& received) { version = std::max(version, received.version); })
@@ -40,7 +41,7 @@
         registry.start();
     }
 
-    seeded_random_source random{9};
+    seeded_random_source random;
     adapter platform;
     std::unique_ptr<key_value_store> store;
     store_registry registry;
