--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -263,8 +263,9 @@
 
 void sidecar_daemon::apply_configuration(host_configuration configuration)
 {
-    apply_limits(configuration.limits);
-    m_node->apply(std::move(configuration));
+    const host_limits limits = configuration.limits;
+    if (m_node->apply(std::move(configuration)))
+        apply_limits(limits);
 }
 
 void sidecar_daemon::apply_limits(const host_limits& limits)
--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -151,14 +151,15 @@
     return m_policy.has_configuration() && m_registry->has_joined() && !m_drain->draining();
 }
 
-void sidecar_node::apply(host_configuration configuration)
+bool sidecar_node::apply(host_configuration configuration)
 {
     if (!m_policy.apply(std::move(configuration)))
-        return;
+        return false;
     std::vector<quota_limit> limits;
     for (const host_organisation& organisation : m_policy.configuration().organisations)
         limits.push_back({organisation.name, organisation.rate, organisation.burst});
     m_quotas->set_limits(std::move(limits));
+    return true;
 }
 
 void sidecar_node::drain(std::function<void(std::size_t aborted_requests)> done)
--- a/src/app/sidecar/sidecarnode.h
+++ b/src/app/sidecar/sidecarnode.h
@@ -49,8 +49,8 @@
 
     /// Returns whether callers may be served: the node has a configuration, has joined, and is not draining.
     bool ready() const;
-    /// Applies a configuration unless a newer one is already in force.
-    void apply(host_configuration configuration);
+    /// Applies a configuration unless a newer one is already in force. Returns whether it is in force now.
+    bool apply(host_configuration configuration);
     /// Begins a planned stop. The callback receives the number of requests that were aborted.
     void drain(std::function<void(std::size_t aborted_requests)> done);
     bool draining() const { return m_drain->draining(); }
--- a/tests/auto/app/sidecar/tst_sidecarnode.cpp
+++ b/tests/auto/app/sidecar/tst_sidecarnode.cpp
@@ -139,4 +139,17 @@
     BOOST_TEST(arrivals.size() == 20U);
 }
 
+// Guards against an older configuration from a restored store whose limits replace those in force.
+BOOST_FIXTURE_TEST_CASE(older_configuration_is_reported_as_in_force, sidecar_fixture)
+{
+    host_configuration newer;
+    newer.version = 9;
+    BOOST_TEST(node->apply(newer));
+    BOOST_TEST(node->apply(newer));
+    host_configuration older;
+    older.version = 7;
+    BOOST_TEST(!node->apply(older));
+    BOOST_TEST(node->policy().revision() == 9);
+}
+
 } // namespace mulberry
