Wait for a relay that is receiving changes from the store

While a configuration of 1,100 routes crosses a narrow link, the copy of a relay grows old, and all nodes of its failure domain passed over one relay after the other within a millisecond (the next one had read through the first), until each read the whole configuration over the same link. A relay now states in its pages that a response of the store is arriving, and nodes wait for it.

all_nodes_read_the_store_beside_a_receiving_relay fails without the change.

--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -39,6 +39,9 @@
     /// long. A long response over a narrow link is then not cut off and requested again, which would fill the link.
     /// Ignored by clients that cannot observe the progress of a response.
     duration stall_timeout{0};
+    /// Called each time a part of the response has arrived that does not complete it. May be empty. Ignored by clients
+    /// that cannot observe the progress of a response.
+    std::function<void()> on_progress{};
     /// Name of a request field that the server repeats in its response, or empty. A response with another value belongs
     /// to another request and is discarded.
     std::string echoed_field{};
--- a/src/libs/http1/http1clientconnection.cpp
+++ b/src/libs/http1/http1clientconnection.cpp
@@ -154,6 +154,8 @@
         return on_message(error);
     if (m_request.stall_timeout > duration{0})
         start_timer(m_request.stall_timeout, http_error::timed_out);
+    if (m_request.on_progress)
+        m_request.on_progress();
     read_more();
 }
 
--- a/src/libs/store/keyvaluestore.h
+++ b/src/libs/store/keyvaluestore.h
@@ -100,6 +100,8 @@
     /// The latest time up to which a watch is known to have reported every change; empty if the store does not provide
     /// it.
     virtual std::optional<time_point> watch_confirmed_until(watch_id /*id*/) const { return std::nullopt; }
+    /// Whether changes for a watch are arriving at present. A large entry takes seconds over a narrow link.
+    virtual bool watch_is_receiving(watch_id /*id*/) const { return false; }
 };
 
 } // namespace mulberry
--- a/src/plugins/storerelay/relayedstore.cpp
+++ b/src/plugins/storerelay/relayedstore.cpp
@@ -220,6 +220,12 @@
     return followed == m_followed.end() || !followed->second.copy.has_snapshot() ? nullptr : &followed->second.copy;
 }
 
+bool relayed_store::copy_is_receiving(std::string_view prefix) const
+{
+    const auto followed = m_followed.find(prefix);
+    return followed != m_followed.end() && followed->second.watch != nullptr && followed->second.watch->is_receiving();
+}
+
 std::optional<time_point> relayed_store::copy_confirmed_until(std::string_view prefix) const
 {
     const auto followed = m_followed.find(prefix);
--- a/src/plugins/storerelay/relayedstore.h
+++ b/src/plugins/storerelay/relayedstore.h
@@ -53,6 +53,8 @@
     const store_copy* copy_of(std::string_view prefix) const;
     /// The time up to which the copy of a prefix is known to be complete; empty if that is not known.
     std::optional<time_point> copy_confirmed_until(std::string_view prefix) const;
+    /// Whether changes of a prefix are arriving from the store at present.
+    bool copy_is_receiving(std::string_view prefix) const;
     /// Sets a callback that is called after a copy has changed.
     void on_copy_changed(std::function<void(std::string_view prefix)> callback);
 
--- a/src/plugins/storerelay/relayedwatch.cpp
+++ b/src/plugins/storerelay/relayedwatch.cpp
@@ -7,6 +7,13 @@
 
 namespace mulberry {
 
+namespace {
+
+// Interval at which a relay is polled that is receiving changes.
+constexpr duration receiving_poll_period = std::chrono::milliseconds(100);
+
+} // namespace
+
 relayed_watch::relayed_watch(const relayed_watch_settings& settings, timer_service& timers, relayed_watch_owner& owner,
                              std::string prefix, std::int64_t from_revision, watch_callback on_change)
     : m_settings(settings), m_timers(timers), m_owner(owner), m_prefix(std::move(prefix)),
@@ -30,6 +37,11 @@
     return std::max(m_confirmed_until, m_owner.direct_store().watch_confirmed_until(m_direct_watch));
 }
 
+bool relayed_watch::is_receiving() const
+{
+    return m_direct_watch != 0 && m_owner.direct_store().watch_is_receiving(m_direct_watch);
+}
+
 void relayed_watch::step()
 {
     const auto relay = m_owner.choose_relay();
@@ -38,10 +50,10 @@
     poll(*relay);
 }
 
-void relayed_watch::step_later()
+void relayed_watch::step_later(duration delay)
 {
     m_timers.cancel(m_timer);
-    m_timer = m_timers.schedule(duration{0}, [this] {
+    m_timer = m_timers.schedule(delay, [this] {
         m_timer = 0;
         step();
     });
@@ -100,8 +112,13 @@
     m_confirmed_until = std::max(m_confirmed_until, std::optional(relay_confirmed_until));
     if (!report(page.events))
         return;
-    if (m_settings.max_age && now - relay_confirmed_until > *m_settings.max_age)
-        return fail_relay(relay_failure::stale_copy);
+    if (m_settings.max_age && now - relay_confirmed_until > *m_settings.max_age) {
+        if (!page.receiving)
+            return fail_relay(relay_failure::stale_copy);
+        // More readers of the store would share the link with the relay, and all of them would take longer.
+        m_polled_relay.clear();
+        return step_later(receiving_poll_period);
+    }
     // An own read of the store goes on until a relay has proved to be a better source: it may be receiving a large
     // entry over a narrow link, and would have to begin again.
     stop_direct_watch();
@@ -134,7 +151,7 @@
 
 void relayed_watch::check_direct_watch()
 {
-    if (is_too_old())
+    if (is_too_old() && !is_receiving())
         m_owner.on_direct_read_failed();
     step();
 }
--- a/src/plugins/storerelay/relayedwatch.h
+++ b/src/plugins/storerelay/relayedwatch.h
@@ -56,13 +56,15 @@
     void step();
     /// The latest time up to which all changes are known to have been reported; empty before the first confirmation.
     std::optional<time_point> confirmed_until() const;
+    /// Whether changes are arriving from the store at present.
+    bool is_receiving() const;
 
 private:
     void poll(const std::string& relay);
     void on_page(time_point request_time, leaf::result<std::string> result);
     void apply(time_point request_time, const relay_page& page);
     void fail_relay(relay_failure failure);
-    void step_later();
+    void step_later(duration delay = duration{0});
     void watch_directly();
     void stop_direct_watch();
     void check_direct_watch();
--- a/src/plugins/storerelay/relaymessages.cpp
+++ b/src/plugins/storerelay/relaymessages.cpp
@@ -45,6 +45,7 @@
     storerelay::proto::relay_page message;
     message.set_status(static_cast<std::uint32_t>(page.status));
     message.set_revision(page.revision);
+    message.set_receiving(page.receiving);
     message.set_age_us(page.age.count());
     message.set_held_us(page.held.count());
     for (const watch_event& event : page.events) {
@@ -74,6 +75,7 @@
     relay_page page;
     page.status = static_cast<relay_status>(message.status());
     page.revision = message.revision();
+    page.receiving = message.receiving();
     page.age = duration{message.age_us()};
     page.held = duration{message.held_us()};
     for (auto& event : *message.mutable_events()) {
--- a/src/plugins/storerelay/relaymessages.h
+++ b/src/plugins/storerelay/relaymessages.h
@@ -38,7 +38,9 @@
     duration age{0};
     /// How long the relay held the response back.
     duration held{0};
-    std::vector<watch_event> events;
+    std::vector<watch_event> events{};
+    /// Whether changes are arriving at the relay at present, so that its copy will soon be up to date.
+    bool receiving = false;
 };
 
 std::string encode(const relay_poll& poll);
--- a/src/plugins/storerelay/relayport.cpp
+++ b/src/plugins/storerelay/relayport.cpp
@@ -51,6 +51,7 @@
     page.revision = copy->revision();
     page.age = std::max(now - *confirmed_until, duration{0});
     page.held = now - received_at;
+    page.receiving = m_store.copy_is_receiving(poll.prefix);
     auto changes = poll.after_revision == 0 ? copy->all_entries() : copy->changes_after(poll.after_revision);
     page.status = changes ? relay_status::complete : relay_status::history_gone;
     if (changes)
--- a/tests/auto/plugins/storerelay/tst_relayparts.cpp
+++ b/tests/auto/plugins/storerelay/tst_relayparts.cpp
@@ -231,10 +231,11 @@
     BOOST_TEST((decoded_poll->wait == 500ms));
     BOOST_TEST(!decode_relay_poll(encode(relay_poll{"p", -1, 0ms})).has_value());
     BOOST_TEST(!decode_relay_poll(encode(relay_poll{"p", 1, -1ms})).has_value());
-    relay_page page{relay_status::complete, 20, 30ms, 40ms, {put("a", 3), removal("b", 4)}};
+    relay_page page{relay_status::complete, 20, 30ms, 40ms, {put("a", 3), removal("b", 4)}, true};
     page.events.front().entry.value = std::string("\x00\xff", 2);
     const auto decoded_page = decode_relay_page(encode(page));
     BOOST_REQUIRE(decoded_page.has_value());
+    BOOST_TEST(decoded_page->receiving);
     BOOST_TEST(describe(decoded_page->events) == "a@3 -b@4 ");
     BOOST_TEST((decoded_page->events.front().entry.value == std::string("\x00\xff", 2)));
     BOOST_TEST((decoded_page->age == 30ms));
--- a/tests/auto/plugins/storerelay/tst_storerelay.cpp
+++ b/tests/auto/plugins/storerelay/tst_storerelay.cpp
@@ -130,6 +130,23 @@
     }
 }
 
+// Guards against a large change that no node of a failure domain receives in time, because all of them read it over the
+// same link as soon as the copy of their relay is too old.
+BOOST_AUTO_TEST_CASE(all_nodes_read_the_store_beside_a_receiving_relay)
+{
+    joined_fleet fleet;
+    faulty_store& connection = fleet.nodes.at(joined_fleet::name(1, 0))->connection();
+    connection.set_faults({.receiving = true});
+    fleet.change_configuration();
+    for (int i = 0; i < 12; ++i) {
+        BOOST_TEST(fleet.run(250ms));
+        BOOST_TEST(fleet.nodes_that_read_the_store() == domains);
+    }
+    connection.set_faults({});
+    BOOST_TEST(fleet.run(250ms));
+    BOOST_TEST(fleet.all_have_current_version());
+}
+
 // Guards against a fleet that does not return to its relays after an outage of the store.
 BOOST_AUTO_TEST_CASE(an_outage_of_the_store_ends)
 {
--- a/tests/fakes/faultystore.cpp
+++ b/tests/fakes/faultystore.cpp
@@ -85,6 +85,18 @@
               [this, lease](callback<void> on_result) { m_backing.keep_alive(lease, on_result); });
 }
 
+void faulty_store::set_faults(const store_faults& faults)
+{
+    const bool was_confirmed = !m_faults.down && !m_faults.receiving;
+    if (was_confirmed && (faults.down || faults.receiving))
+        m_unconfirmed_since = m_timers.now();
+    m_faults = faults;
+    if (m_faults.receiving)
+        return;
+    for (const auto& report : std::exchange(m_held_events, {}))
+        report();
+}
+
 watch_id faulty_store::watch(std::string_view prefix, std::int64_t from_revision, watch_callback on_change)
 {
     ++m_calls;
@@ -95,6 +107,10 @@
                                 return;
                             if (m_faults.down)
                                 return on_change(captured_error<std::vector<watch_event>>(store_error::unavailable));
+                            if (m_faults.receiving && events) {
+                                m_held_events.push_back([on_change, received = *events] { on_change(received); });
+                                return;
+                            }
                             on_change(std::move(events));
                         });
     m_watches.emplace(id, m_timers.now());
@@ -109,12 +125,12 @@
 
 std::optional<time_point> faulty_store::watch_confirmed_until(watch_id id) const
 {
-    if (!m_faults.down)
+    if (!m_faults.down && !m_faults.receiving)
         return m_timers.now();
     const auto watch = m_watches.find(id);
-    if (watch == m_watches.end() || watch->second >= m_down_since)
+    if (watch == m_watches.end() || watch->second >= m_unconfirmed_since)
         return std::nullopt;
-    return m_down_since;
+    return m_unconfirmed_since;
 }
 
 } // namespace mulberry
--- a/tests/fakes/faultystore.h
+++ b/tests/fakes/faultystore.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace mulberry {
 
@@ -16,6 +17,8 @@
     bool down = false;
     /// Probability per write that it takes effect and its response is lost.
     double lost_response = 0;
+    /// Whether a large change is arriving slowly: watches report nothing until this ends.
+    bool receiving = false;
 };
 
 /// The connection of one node to a shared store, with its own faults. A single node can thus be disconnected while the
@@ -27,12 +30,7 @@
     {
     }
 
-    void set_faults(const store_faults& faults)
-    {
-        if (faults.down && !m_faults.down)
-            m_down_since = m_timers.now();
-        m_faults = faults;
-    }
+    void set_faults(const store_faults& faults);
     /// Number of calls so far. Opening a watch counts as one call.
     std::uint64_t calls() const { return m_calls; }
 
@@ -48,6 +46,7 @@
     void cancel_watch(watch_id id) override;
     /// Watches report changes at once while the store is reachable.
     std::optional<time_point> watch_confirmed_until(watch_id id) const override;
+    bool watch_is_receiving(watch_id /*id*/) const override { return m_faults.receiving; }
 
 private:
     template <typename Result>
@@ -65,7 +64,10 @@
     random_source& m_random;
     store_faults m_faults;
     std::uint64_t m_calls = 0;
-    time_point m_down_since;
+    // Since when watches are not confirmed, while the store is down or a change is arriving.
+    time_point m_unconfirmed_since;
+    // Events that arrive once the store does not count as receiving any more.
+    std::vector<std::function<void()>> m_held_events;
     // When the watches were opened.
     std::map<watch_id, time_point> m_watches;
     // Expires with this object, because the backing store may respond after its destruction.
