--- a/src/plugins/calls/fieldnames.h
+++ b/src/plugins/calls/fieldnames.h
@@ -26,7 +26,8 @@
     std::string expected_instance;
     /// Sent by the upstream if it has not run the request and never will.
     std::string not_executed;
-    /// Sent by the upstream: the requests per second that it accepts from all nodes together, and whether it is leaving.
+    /// Sent by the upstream: the requests per second that it accepts from all nodes together, and whether it is
+    /// leaving.
     std::string rate_limit;
     std::string leaving;
     /// If true, the caller's Host field is forwarded to the upstream.
