Log the content of requests and the crashes of an upstream

The logs could not tell whether one request ends several upstreams: a decision line has the id of the caller's request, which is new for each repeat, and connection_lost stands for lost responses and reset connections too.

Lines, calls and records now have a fingerprint of the content. The guard recognises a crash (all running calls lose their connections, then a connection is refused or another run announces itself), logs the requests that were running and counts it in mulberry_upstream_crashes. What is sent, retried or refused is unchanged.

The check of truncated messages in tst_calls compares the new last field as well.

--- a/src/app/mulberryd/operatorjson.cpp
+++ b/src/app/mulberryd/operatorjson.cpp
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace mulberry {
 
 namespace {
@@ -92,6 +94,7 @@
                 {"role", record.role == hop_role::entry ? "entry" : "guard"},
                 {"node", record.node},
                 {"peer", record.peer},
+                {"fingerprint", fmt::format("{:016x}", record.fingerprint)},
                 {"organisation", record.organisation},
                 {"service", record.service},
                 {"route", record.route},
--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -139,6 +139,8 @@
                             static_cast<double>(guard.admission().running()));
         m_metrics.set_gauge("mulberry_upstream_waiting", "Requests that wait for this node's upstream.",
                             static_cast<double>(guard.admission().waiting()));
+        m_metrics.set_gauge("mulberry_upstream_crashes", "Crashes of this node's upstream since this node started.",
+                            static_cast<double>(guard.upstream_crashes()));
         m_metrics.set_gauge("mulberry_upstream_rate_limit",
                             "Requests per second that this node's upstream accepts; -1 if it names no limit.",
                             guard.notice().rate_limit.value_or(-1));
--- a/src/plugins/account/decisionrecord.h
+++ b/src/plugins/account/decisionrecord.h
@@ -19,6 +19,8 @@
 /// The decision of one node about one request at one hop, and the reason for it. Contains no key material.
 struct decision_record {
     std::string request_id;
+    /// The same for all requests with the same content; 0 if it is not known.
+    std::uint64_t fingerprint = 0;
     /// Depth in the call tree; the caller's request has hop 0.
     std::uint32_t hop = 0;
     hop_role role = hop_role::entry;
--- a/src/plugins/account/recordcodec.cpp
+++ b/src/plugins/account/recordcodec.cpp
@@ -55,6 +55,7 @@
 void encode(const decision_record& record, name_table& names, account_messages::decision& out)
 {
     out.set_request_id(record.request_id.substr(0, max_request_id_bytes));
+    out.set_fingerprint(record.fingerprint);
     out.set_hop(record.hop);
     out.set_role(static_cast<std::uint32_t>(record.role));
     out.set_node(names.number_of(record.node));
@@ -93,6 +94,7 @@
 void decode_numbers(const account_messages::decision& in, decision_record& out)
 {
     out.request_id = in.request_id();
+    out.fingerprint = in.fingerprint();
     out.hop = in.hop();
     out.role = static_cast<hop_role>(in.role());
     out.level = static_cast<importance>(in.importance());
--- a/src/plugins/calls/callcodec.cpp
+++ b/src/plugins/calls/callcodec.cpp
@@ -177,6 +177,7 @@
     message.set_path(request.path);
     write_headers(request.headers, message.mutable_headers());
     message.set_body(request.body);
+    message.set_fingerprint(request.fingerprint);
     if (request.notice != upstream_notice{})
         write_notice(request.notice, message.mutable_notice());
     return message.SerializeAsString();
@@ -237,6 +238,7 @@
     request.headers = read_headers(message.mutable_headers());
     request.body = std::move(*message.mutable_body());
     request.notice = read_notice(message.notice());
+    request.fingerprint = message.fingerprint();
     if (!are_valid_headers(request.headers))
         return captured_error<call_request>(call_error::malformed);
     return request;
--- a/src/plugins/calls/callrequest.h
+++ b/src/plugins/calls/callrequest.h
@@ -3,6 +3,7 @@
 #include "libs/base/identifiers.h"
 #include "libs/base/importance.h"
 #include "libs/base/time.h"
+#include "plugins/calls/requestfingerprint.h"
 #include "plugins/calls/upstreamnotice.h"
 
 #include <cstdint>
@@ -51,6 +52,7 @@
     std::string body;
     /// What the sender knows about the upstream from its responses. The receiver may have restarted since then.
     upstream_notice notice{};
+    request_fingerprint fingerprint = 0;
 };
 
 } // namespace mulberry
--- a/src/plugins/entry/entryrequest.h
+++ b/src/plugins/entry/entryrequest.h
@@ -3,6 +3,7 @@
 #include "plugins/calls/callcontext.h"
 #include "plugins/calls/callresponse.h"
 #include "plugins/calls/calltransport.h"
+#include "plugins/calls/requestfingerprint.h"
 #include "plugins/entry/callerrequest.h"
 #include "plugins/entry/matchedroute.h"
 #include "plugins/idempotency/idempotencykey.h"
@@ -37,6 +38,7 @@
     std::size_t body_cap = 0;
     std::string key;
     std::string organisation;
+    request_fingerprint fingerprint = 0;
     importance level = importance::normal;
     std::uint32_t depth = 1;
     std::optional<idempotency_key> parsed_idempotency_key;
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -93,6 +93,8 @@
     auto refused = m_checks.match(*request);
     if (!refused)
         refused = m_checks.authenticate(*request);
+    if (!refused)
+        request->fingerprint = fingerprint_of_request(*request);
     if (!refused && request->parent != nullptr)
         request->parent->nested_call_cancels[request->handle] = [this, handle = request->handle] { cancel(handle); };
     if (!refused)
@@ -127,6 +129,17 @@
     return fmt::format("{}-{}-{}", m_settings.self.name, m_settings.self.incarnation, request.handle);
 }
 
+request_fingerprint entry_service::fingerprint_of_request(const request_state& request) const
+{
+    request_content content;
+    content.organisation = request.organisation;
+    content.method = request.input.method;
+    content.authority = m_settings.fields.forwards_host ? request.input.host : request.service;
+    content.path = request.path;
+    content.body = request.input.body;
+    return fingerprint_of(content);
+}
+
 void entry_service::take_token(const request_ptr& request)
 {
     if (request->parent != nullptr || request->rules.open)
@@ -231,6 +244,7 @@
         call.headers.emplace_back(host_header, request.input.host);
     call.body = request.input.body;
     call.notice = m_notices.find(request.upstream);
+    call.fingerprint = request.fingerprint;
     return call;
 }
 
@@ -435,6 +449,7 @@
 {
     decision_record record;
     record.request_id = request.request_id;
+    record.fingerprint = request.fingerprint;
     record.hop = request.depth - 1;
     record.node = m_settings.self.name;
     record.peer = request.upstream;
--- a/src/plugins/entry/entryservice.h
+++ b/src/plugins/entry/entryservice.h
@@ -55,6 +55,7 @@
     entry_handle start(const request_ptr& request);
     std::optional<refusal> check_planned_stop(const request_state& request);
     std::string request_id_of(const request_state& request) const;
+    request_fingerprint fingerprint_of_request(const request_state& request) const;
     void take_token(const request_ptr& request);
     void first_attempt(const request_ptr& request);
     void attempt(const request_ptr& request);
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -89,6 +89,7 @@
     const bool same_run = status.instance == m_upstream_state.instance &&
                           status.instance_started_ms == m_upstream_state.instance_started_ms;
     if (!same_run) {
+        check_crash();
         m_notices.reset();
         m_admission.set_rate_limit(std::nullopt);
     }
@@ -339,6 +340,7 @@
 void guard_service::respond_executed(call& entry, http_response response)
 {
     const duration service_time = m_timers.now() - entry.admitted_at;
+    m_crashes.on_response(entry.admitted_at);
     const bool failed = is_server_error(response.status);
     m_admission.finished(entry.request.attempt, service_time,
                          failed ? finish_result::failed : finish_result::succeeded);
@@ -356,6 +358,10 @@
 {
     const duration service_time = m_timers.now() - entry.admitted_at;
     m_admission.finished(entry.request.attempt, service_time, finish_result_of(error));
+    if (error == http_error::connection_lost)
+        m_crashes.on_connection_lost(m_timers.now(), entry.request.fingerprint);
+    if (error == http_error::not_sent)
+        check_crash();
     const refusal details = refusal_of(error);
     call_response out;
     out.result = details.result;
@@ -365,6 +371,32 @@
     finish(entry, std::move(out));
 }
 
+void guard_service::check_crash()
+{
+    // The connections of an upstream that leaves as planned may end with it.
+    if (m_upstream_state.leaving_since)
+        return m_crashes.reset();
+    const auto lost_calls = m_crashes.on_upstream_ended(oldest_running_call());
+    if (lost_calls.empty())
+        return;
+    ++m_upstream_crashes;
+    log_warning(log_part, "Upstream {} has crashed while it was running {} requests.", m_upstream_state.instance,
+                lost_calls.size());
+    for (const request_fingerprint fingerprint : lost_calls)
+        log_info(log_part, "Request {:016x} was running when upstream {} crashed.", fingerprint,
+                 m_upstream_state.instance);
+}
+
+std::optional<time_point> guard_service::oldest_running_call() const
+{
+    std::optional<time_point> oldest;
+    for (const auto& [id, entry] : m_calls) {
+        if (entry.is_running && (!oldest || entry.admitted_at < *oldest))
+            oldest = entry.admitted_at;
+    }
+    return oldest;
+}
+
 void guard_service::complete_record(call& entry, const call_response& response)
 {
     if (!entry.record)
@@ -422,6 +454,7 @@
     const call_request& request = entry.request;
     decision_record record;
     record.request_id = request.request_id;
+    record.fingerprint = request.fingerprint;
     record.hop = request.depth - 1;
     record.role = hop_role::guard;
     record.node = m_settings.self.name;
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -8,6 +8,7 @@
 #include "plugins/calls/fieldnames.h"
 #include "plugins/calls/requestobserver.h"
 #include "plugins/guard/attemptfilter.h"
+#include "plugins/guard/crashdetector.h"
 #include "plugins/guard/upstreamnoticetracker.h"
 #include "plugins/idempotency/idempotencytable.h"
 
@@ -105,6 +106,8 @@
     double repeat_share() const;
     /// What the upstream states about itself in its responses.
     const upstream_notice& notice() const { return m_notices.current(); }
+    /// Number of crashes of the upstream that this node has recognised.
+    std::uint64_t upstream_crashes() const { return m_upstream_crashes; }
     const admission_queue& admission() const { return m_admission; }
     const idempotency_table& idempotency() const { return m_idempotency; }
 
@@ -132,6 +135,8 @@
     void apply_rate_limit();
     void apply_sender_notice(const upstream_notice& notice);
     void report_leaving(leaving_source source);
+    void check_crash();
+    std::optional<time_point> oldest_running_call() const;
     upstream_notice own_notice() const;
     void respond_not_executed(call& entry, const http_response& response);
     bool apply_idempotency_key(call& entry);
@@ -160,6 +165,8 @@
     std::optional<time_point> m_stops_at;
     upstream_status m_upstream_state;
     detail::upstream_notice_tracker m_notices;
+    detail::crash_detector m_crashes;
+    std::uint64_t m_upstream_crashes = 0;
 };
 
 } // namespace mulberry
--- a/tests/auto/plugins/account/tst_account.cpp
+++ b/tests/auto/plugins/account/tst_account.cpp
@@ -87,6 +87,7 @@
 {
     test_fleet fleet(1);
     decision_record full = record_of("request-1", 5, refusal_reason::queue_delay);
+    full.fingerprint = 77;
     full.hop = 3;
     full.role = hop_role::guard;
     full.unknown = "whether the upstream finished";
--- a/tests/auto/plugins/calls/tst_calls.cpp
+++ b/tests/auto/plugins/calls/tst_calls.cpp
@@ -32,6 +32,7 @@
     request.headers = {{"Accept", "text/plain"}, {"X-Bytes", std::string("\xff\x80", 2)}};
     request.body = std::string("\0body", 5);
     request.notice = {2.5, false};
+    request.fingerprint = 77;
     return request;
 }
 
@@ -76,6 +77,7 @@
     BOOST_TEST(decoded->receiver == request.receiver);
     BOOST_TEST(decoded->body == request.body);
     BOOST_TEST((decoded->notice == request.notice));
+    BOOST_TEST(decoded->fingerprint == request.fingerprint);
     call_response response = sample_response();
     response.reason = refusal_reason::key_missing; // the first enumerator must be distinguishable from "no reason"
     const auto decoded_response = decode_call_response(encode(response));
@@ -148,7 +150,8 @@
         if (!decoded)
             continue;
         BOOST_TEST((decoded->body != sample_request().body || decoded->headers != sample_request().headers ||
-                    decoded->receiver != sample_request().receiver || decoded->notice != sample_request().notice));
+                    decoded->receiver != sample_request().receiver || decoded->notice != sample_request().notice ||
+                    decoded->fingerprint != sample_request().fingerprint));
     }
     for (int i = 0; i < 2000; ++i) {
         std::string corrupted = encoded;
