--- a/tests/auto/app/node/testfleet.cpp
+++ b/tests/auto/app/node/testfleet.cpp
@@ -145,6 +145,10 @@
     entry.transport = m_calls.make_transport(name, *entry.timers);
     entry.upstream = std::make_unique<fake_upstream>(*entry.timers, m_random);
     entry.upstream->set_faults({.service_time = entry.service_time});
+    entry.upstream->set_crash_trigger({[this](const http_request& request) {
+                                           return crashing_requests.matches && crashing_requests.matches(request);
+                                       },
+                                       crashing_requests.delay, crashing_requests.downtime});
     entry.upstream->on_run([this, service = entry.settings.service](const http_request& request) {
         ++m_runs[{service, request.body}];
         if (on_run)
--- a/tests/auto/app/node/testfleet.h
+++ b/tests/auto/app/node/testfleet.h
@@ -79,6 +79,8 @@
 
     /// Returns how often a request with this body was started by an upstream of the service.
     int runs(const std::string& service, const std::string& body) const;
+    /// Requests that crash every upstream that runs them. Takes effect when a node starts.
+    crash_trigger crashing_requests;
     /// Called whenever an upstream starts a request, with the upstream's service and the request.
     std::function<void(const std::string& service, const http_request&)> on_run;
 
--- a/tests/fakes/fakeupstream.h
+++ b/tests/fakes/fakeupstream.h
@@ -22,6 +22,15 @@
     double shed = 0;
 };
 
+/// Requests that crash the upstream which runs them.
+struct crash_trigger {
+    std::function<bool(const http_request&)> matches;
+    /// Time from the start of the request to the crash.
+    duration delay{std::chrono::milliseconds(5)};
+    /// Time from the crash until the upstream accepts connections again.
+    duration downtime{std::chrono::milliseconds(1500)};
+};
+
 /// Simulates an upstream behind the interface of the HTTP client. It responds with the body of the request, and reports
 /// each execution to an observer.
 class fake_upstream final : public streaming_http_client {
@@ -40,6 +49,12 @@
     /// to continue the request.
     void set_nested_call(nested_call call) { m_nested_call = std::move(call); }
 
+    void set_crash_trigger(crash_trigger trigger) { m_crash_trigger = std::move(trigger); }
+    /// Sets the observer that is called when the upstream accepts connections again after a crash.
+    void on_restart(std::function<void()> observer) { m_restart_observer = std::move(observer); }
+    /// Loses all connections and refuses new ones for the given time.
+    void crash(duration downtime);
+
     http_call_id send(http_request request, http_callback done) override;
     void cancel(http_call_id id) override;
     http_call_id stream(http_request request, std::function<void(std::string_view)> on_piece,
@@ -65,6 +80,9 @@
     http_headers m_response_headers{{"Content-Type", "text/plain"}};
     run_observer m_observer;
     nested_call m_nested_call;
+    crash_trigger m_crash_trigger;
+    std::function<void()> m_restart_observer;
+    bool m_is_down = false;
     http_headers m_last_headers;
     std::unordered_map<http_call_id, exchange> m_running;
     http_call_id m_last_id = 0;
