Refuse requests that crash the upstreams that run them

Cause: nothing recognised a request by its content. Every bound on attempts ends with the attempt of one caller, so a repeat was a new request at every node.

Change: the guard beside a crashed upstream reports which requests were running. The reports spread by gossip, and nodes compare what they know of requests with several crashes, so that restarted and reconnected nodes learn it. A request with three crashes is refused as not run by entries and guards. A completion clears a request of the crashes before, and one within ten seconds before a crash keeps it from being reported, so that popular requests are not blamed. Crashes shared by several requests with as many crashes count for none of them, as when upstreams crash for reasons of their own; from two crashes on, suspects run one at a time at an upstream, so that the next crash has one suspect. At most 2048 suspects of 8 crashes are kept, a message has at most 512 fingerprints.

--- a/src/app/mulberryd/daemon.cpp
+++ b/src/app/mulberryd/daemon.cpp
@@ -223,8 +223,9 @@
                   m_settings.node_name, incarnation);
         stop();
     });
-    for (const control_channel channel : {control_channel::membership, control_channel::configuration,
-                                          control_channel::shares, control_channel::account})
+    for (const control_channel channel :
+         {control_channel::membership, control_channel::configuration, control_channel::shares,
+          control_channel::account, control_channel::quarantine})
         m_control->attach(channel, &m_node->handler(channel));
 }
 
--- a/src/app/mulberryd/operatorapi.cpp
+++ b/src/app/mulberryd/operatorapi.cpp
@@ -222,12 +222,17 @@
                       static_cast<double>(owner.account().bytes()));
     metrics.set_gauge("mulberry_idempotency_records", "Records of non-idempotent requests at this home.",
                       static_cast<double>(owner.guard().idempotency().size()));
+    metrics.set_gauge("mulberry_upstream_crashes", "Crashes of this node's upstream since this node started.",
+                      static_cast<double>(owner.guard().upstream_crashes()));
+    metrics.set_gauge("mulberry_quarantined_requests", "Requests that are refused because they crash upstreams.",
+                      static_cast<double>(owner.quarantine().quarantined()));
     for (const shares::organisation_status& share : owner.organisation_shares().status().organisations) {
         metrics.set_gauge("mulberry_share_rate", "Requests per second that this node may admit now.", share.held_rate,
                           "organisation", share.organisation);
     }
-    for (const control_channel channel : {control_channel::membership, control_channel::configuration,
-                                          control_channel::shares, control_channel::account}) {
+    for (const control_channel channel :
+         {control_channel::membership, control_channel::configuration, control_channel::shares,
+          control_channel::account, control_channel::quarantine}) {
         const control_traffic traffic = m_dependencies.control.traffic(channel);
         metrics.set_gauge("mulberry_control_bytes", "Payload bytes of control messages sent and received.",
                           static_cast<double>(traffic.sent_bytes + traffic.received_bytes), "channel",
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -125,6 +125,8 @@
     share_options.failure_domains = [this] { return m_settings.failure_domains; };
     m_organisation_shares = std::make_unique<shares::share_service>(
         std::move(share_options), m_timers, environment.random, environment.control, environment.store);
+    m_quarantine = std::make_unique<quarantine_service>(m_settings.self, m_timers, environment.random, *m_members,
+                                                        environment.control);
     decision_log_settings account;
     account.node = m_settings.self.name;
     account.max_bytes = m_settings.account_memory_bytes;
@@ -142,6 +144,7 @@
     guard.self = m_settings.self;
     guard.service = m_settings.service;
     guard.upstream_url = m_settings.upstream_url;
+    guard.quarantine = m_quarantine.get();
     guard.idempotency.max_bytes = m_settings.idempotency_memory_bytes;
     m_guard = std::make_unique<guard_service>(std::move(guard), m_timers, environment.secure_random,
                                               environment.upstream, *m_observer);
@@ -150,8 +153,9 @@
     entry_settings entry;
     entry.self = m_settings.self;
     m_entry = std::make_unique<entry_service>(
-        entry, entry_dependencies{m_timers, environment.random, environment.secure_random, *m_policy, *m_limiter,
-                                  *m_throttle, *m_selector, *m_members, *m_transport, *m_observer});
+        entry,
+        entry_dependencies{m_timers, environment.random, environment.secure_random, *m_policy, *m_limiter, *m_throttle,
+                           *m_selector, *m_members, *m_transport, *m_observer, nullptr, nullptr, m_quarantine.get()});
     m_drain_adapter = std::make_unique<drain_adapter>(*this);
     const std::array<drain_participant*, 1> participants{m_drain_adapter.get()};
     m_drain = std::make_unique<drain_controller>(m_settings.drain, m_timers, participants);
@@ -192,6 +196,8 @@
         return *m_organisation_shares;
     case control_channel::account:
         return *m_account;
+    case control_channel::quarantine:
+        return *m_quarantine;
     case control_channel::quota: // not used by this kind of node; rate limits are enforced through shares
         break;
     }
--- a/src/app/node/node.h
+++ b/src/app/node/node.h
@@ -8,6 +8,7 @@
 #include "plugins/drain/draincontroller.h"
 #include "plugins/entry/entryservice.h"
 #include "plugins/membership/membership.h"
+#include "plugins/quarantine/quarantineservice.h"
 #include "plugins/shares/shareservice.h"
 
 #include <functional>
@@ -75,6 +76,7 @@
     policy_view& policy() { return *m_policy; }
     shares::share_service& organisation_shares() { return *m_organisation_shares; }
     decision_log& account() { return *m_account; }
+    const quarantine_service& quarantine() const { return *m_quarantine; }
     upstream_selector& selector() { return *m_selector; }
     drain_controller& drain_control() { return *m_drain; }
     const node_settings& settings() const { return m_settings; }
@@ -104,6 +106,7 @@
     parsing_validator m_validator;
     std::unique_ptr<config_writer> m_writer;
     std::unique_ptr<shares::share_service> m_organisation_shares;
+    std::unique_ptr<quarantine_service> m_quarantine;
     std::unique_ptr<decision_log> m_account;
     std::unique_ptr<account_observer> m_observer;
     std::unique_ptr<entry_throttle> m_throttle;
--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -141,6 +141,8 @@
                             static_cast<double>(guard.admission().waiting()));
         m_metrics.set_gauge("mulberry_upstream_crashes", "Crashes of this node's upstream since this node started.",
                             static_cast<double>(guard.upstream_crashes()));
+        m_metrics.set_gauge("mulberry_quarantined_requests", "Requests that are refused because they crash upstreams.",
+                            static_cast<double>(m_node.quarantine().quarantined()));
         m_metrics.set_gauge("mulberry_upstream_rate_limit",
                             "Requests per second that this node's upstream accepts; -1 if it names no limit.",
                             guard.notice().rate_limit.value_or(-1));
@@ -173,6 +175,7 @@
                                             platform.fields(), environment);
     m_node->registry().on_secret([this](const std::string& secret) { m_security->set_secret(secret); });
     m_control.attach(control_channel::quota, &m_node->quotas());
+    m_control.attach(control_channel::quarantine, &m_node->quarantine());
     m_calls = std::make_unique<call_handler>(m_node->guard());
     m_router.add(std::string(call_path), *m_calls);
     m_router.add(std::string(peer_control_link::path_prefix), m_control);
--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -92,6 +92,8 @@
     m_registry->on_earlier_run([this](const member& previous_run) { restore_upstream(previous_run); });
     m_quotas =
         std::make_unique<quota_service>(quota_settings{}, m_self.name, m_timers, *m_registry, environment.control);
+    m_quarantine =
+        std::make_unique<quarantine_service>(m_self, m_timers, environment.random, *m_registry, environment.control);
     m_throttle = std::make_unique<entry_throttle>(throttle_settings{}, m_timers, environment.random);
     routing_settings routing;
     routing.ramp_duration = upstream_ramp_duration;
@@ -115,6 +117,7 @@
     m_downstream = std::make_unique<downstream_monitor>(m_timers);
     m_bottlenecks = std::make_unique<bottleneck_throttle>(bottleneck_throttle_settings{}, m_timers, environment.random);
     guard.downstream_report = [this] { return m_downstream->report(); };
+    guard.quarantine = m_quarantine.get();
     guard.on_upstream_leaving = [this](leaving_source source) { on_upstream_leaving(source); };
     m_guard = std::make_unique<guard_service>(std::move(guard), m_timers, environment.secure_random,
                                               environment.upstream, environment.observer);
@@ -130,9 +133,10 @@
     entry.make_retry_budget = [this] { return std::make_unique<windowed_retry_budget>(m_retry_bound, m_timers); };
     entry.upstream_repeat_share = [this] { return m_guard->repeat_share(); };
     m_entry = std::make_unique<entry_service>(
-        std::move(entry), entry_dependencies{m_timers, environment.random, environment.secure_random, m_policy,
-                                             *m_quotas, *m_throttle, *m_selector, *m_registry, *m_transport,
-                                             environment.observer, m_downstream.get(), m_bottlenecks.get()});
+        std::move(entry),
+        entry_dependencies{m_timers, environment.random, environment.secure_random, m_policy, *m_quotas, *m_throttle,
+                           *m_selector, *m_registry, *m_transport, environment.observer, m_downstream.get(),
+                           m_bottlenecks.get(), m_quarantine.get()});
     m_drain_adapter = std::make_unique<drain_adapter>(*this);
     const std::array<drain_participant*, 1> participants{m_drain_adapter.get()};
     const drain_settings drain{stop_settle_time, m_settings.stop_limit - stop_margin};
--- a/src/app/sidecar/sidecarnode.h
+++ b/src/app/sidecar/sidecarnode.h
@@ -7,6 +7,7 @@
 #include "libs/store/keyvaluestore.h"
 #include "plugins/drain/draincontroller.h"
 #include "plugins/entry/entryservice.h"
+#include "plugins/quarantine/quarantineservice.h"
 #include "plugins/quota/quotaservice.h"
 #include "plugins/registry/storeregistry.h"
 #include "plugins/retry/windowedretrybudget.h"
@@ -62,6 +63,8 @@
     upstream_tracker& upstream() { return m_upstream; }
     host_policy& policy() { return m_policy; }
     quota_service& quotas() { return *m_quotas; }
+    quarantine_service& quarantine() { return *m_quarantine; }
+    const quarantine_service& quarantine() const { return *m_quarantine; }
 
 private:
     class drain_adapter;
@@ -85,6 +88,7 @@
     upstream_tracker m_upstream;
     std::unique_ptr<store_registry> m_registry;
     std::unique_ptr<quota_service> m_quotas;
+    std::unique_ptr<quarantine_service> m_quarantine;
     std::unique_ptr<entry_throttle> m_throttle;
     std::unique_ptr<downstream_monitor> m_downstream;
     std::unique_ptr<bottleneck_throttle> m_bottlenecks;
--- a/src/libs/base/controllink.cpp
+++ b/src/libs/base/controllink.cpp
@@ -15,6 +15,8 @@
         return "account";
     case control_channel::quota:
         return "quota";
+    case control_channel::quarantine:
+        return "quarantine";
     }
     return "invalid";
 }
--- a/src/libs/base/controllink.h
+++ b/src/libs/base/controllink.h
@@ -7,7 +7,14 @@
 namespace mulberry {
 
 /// The plugin to which a control message belongs. The numeric values are part of the protocol between daemons.
-enum class control_channel : std::uint8_t { membership = 1, configuration = 2, shares = 3, account = 4, quota = 5 };
+enum class control_channel : std::uint8_t {
+    membership = 1,
+    configuration = 2,
+    shares = 3,
+    account = 4,
+    quota = 5,
+    quarantine = 6
+};
 
 /// Returns the name of the channel, as used in metrics and in the path of its stream.
 std::string_view to_string(control_channel channel);
--- a/src/libs/base/refusal.cpp
+++ b/src/libs/base/refusal.cpp
@@ -48,6 +48,8 @@
     reason_row{refusal_reason::retries_exhausted, "retries_exhausted", 503},
     reason_row{refusal_reason::invariant_violated, "invariant_violated", 500},
     reason_row{refusal_reason::upstream_limited, "upstream_limited", 503},
+    reason_row{refusal_reason::request_quarantined, "request_quarantined", 503},
+    reason_row{refusal_reason::request_isolated, "request_isolated", 503},
 };
 
 static_assert(reason_table.size() == static_cast<std::size_t>(refusal_reason::count),
--- a/src/libs/base/refusal.h
+++ b/src/libs/base/refusal.h
@@ -49,6 +49,8 @@
     retries_exhausted,
     invariant_violated,
     upstream_limited,
+    request_quarantined,
+    request_isolated,
     count // number of reasons; not a reason itself
 };
 
--- a/src/libs/peer/peercontrollink.cpp
+++ b/src/libs/peer/peercontrollink.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-constexpr std::array all_channels{control_channel::membership, control_channel::configuration, control_channel::shares,
-                                  control_channel::account, control_channel::quota};
+constexpr std::array all_channels{control_channel::membership, control_channel::configuration,
+                                  control_channel::shares,     control_channel::account,
+                                  control_channel::quota,      control_channel::quarantine};
 
 std::optional<control_channel> channel_of(std::string_view path)
 {
--- a/src/plugins/entry/entrydependencies.h
+++ b/src/plugins/entry/entrydependencies.h
@@ -8,6 +8,7 @@
 #include "plugins/entry/policy.h"
 #include "plugins/entry/ratelimiter.h"
 #include "plugins/membership/memberdirectory.h"
+#include "plugins/quarantine/requestquarantine.h"
 #include "plugins/retry/retrybudget.h"
 #include "plugins/retry/retrypolicy.h"
 #include "plugins/routing/upstreamselector.h"
@@ -61,6 +62,8 @@
     /// requests are not refused because of a downstream bottleneck.
     downstream_monitor* downstream = nullptr;
     bottleneck_throttle* bottlenecks = nullptr;
+    /// May be null; then requests that crash upstreams are not refused.
+    request_quarantine* quarantine = nullptr;
 };
 
 } // namespace mulberry
--- a/src/plugins/entry/entryservice.cpp
+++ b/src/plugins/entry/entryservice.cpp
@@ -93,8 +93,10 @@
     auto refused = m_checks.match(*request);
     if (!refused)
         refused = m_checks.authenticate(*request);
-    if (!refused)
+    if (!refused) {
         request->fingerprint = fingerprint_of_request(*request);
+        refused = check_quarantine(*request);
+    }
     if (!refused && request->parent != nullptr)
         request->parent->nested_call_cancels[request->handle] = [this, handle = request->handle] { cancel(handle); };
     if (!refused)
@@ -140,6 +142,13 @@
     return fingerprint_of(content);
 }
 
+std::optional<refusal> entry_service::check_quarantine(const request_state& request) const
+{
+    if (m_dependencies.quarantine == nullptr)
+        return std::nullopt;
+    return m_dependencies.quarantine->check(request.fingerprint);
+}
+
 void entry_service::take_token(const request_ptr& request)
 {
     if (request->parent != nullptr || request->rules.open)
@@ -188,6 +197,8 @@
     request->retry_timer = 0;
     if (const auto refused = m_checks.reauthorise(*request))
         return refuse(*request, *refused);
+    if (const auto refused = check_quarantine(*request))
+        return refuse(*request, *refused);
     const auto upstream = choose_upstream(*request);
     if (!upstream)
         return refuse(*request, not_run_refusal(refusal_reason::no_upstream, m_settings.default_retry_after));
--- a/src/plugins/entry/entryservice.h
+++ b/src/plugins/entry/entryservice.h
@@ -56,6 +56,7 @@
     std::optional<refusal> check_planned_stop(const request_state& request);
     std::string request_id_of(const request_state& request) const;
     request_fingerprint fingerprint_of_request(const request_state& request) const;
+    std::optional<refusal> check_quarantine(const request_state& request) const;
     void take_token(const request_ptr& request);
     void first_attempt(const request_ptr& request);
     void attempt(const request_ptr& request);
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -5,6 +5,7 @@
 #include "libs/base/log.h"
 #include "plugins/calls/headerpolicy.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -37,6 +38,8 @@
 }
 
 constexpr int status_misdirected = 421;
+/// Retry-After of requests that wait for another suspect to complete.
+constexpr duration isolation_retry_after = std::chrono::milliseconds(500);
 
 bool is_server_error(int status)
 {
@@ -73,7 +76,17 @@
         return not_run_refusal(refusal_reason::deadline_expired);
     if (is_leaving_grace_over() || (m_stops_at && m_timers.now() + request.remaining > *m_stops_at))
         return not_run_refusal(refusal_reason::leaving);
-    return std::nullopt;
+    return check_quarantine(request);
+}
+
+std::optional<refusal> guard_service::check_quarantine(const call_request& request) const
+{
+    return m_settings.quarantine == nullptr ? std::nullopt : m_settings.quarantine->check(request.fingerprint);
+}
+
+bool guard_service::needs_isolation(const call_request& request) const
+{
+    return m_settings.quarantine != nullptr && m_settings.quarantine->needs_isolation(request.fingerprint);
 }
 
 bool guard_service::is_leaving_grace_over() const
@@ -168,15 +181,32 @@
         !m_leaving_since || it->second.received_at - *m_leaving_since <= m_settings.leaving_grace_period;
     invariant_monitor::instance().check(in_time, invariant::leaving_gets_no_work,
                                         "a call that was received after the leaving grace period was admitted");
-    // The upstream's grace period may have ended while the call was queued; the call must not be forwarded then.
-    if (is_leaving_grace_over() || (m_settings.dynamic_upstream && !m_upstream_state.present)) {
+    if (const auto refused = check_before_forwarding(it->second)) {
         auto node = m_calls.extract(it);
         m_admission.finished(id, duration{0}, finish_result::cancelled);
-        return refuse(node.mapped(), not_run_refusal(refusal_reason::leaving));
+        if (node.mapped().record)
+            m_idempotency.abandon(*node.mapped().record);
+        return refuse(node.mapped(), *refused);
     }
     forward_to_upstream(it->second);
 }
 
+std::optional<refusal> guard_service::check_before_forwarding(const call& entry)
+{
+    // The upstream's grace period may have ended while the call was queued.
+    if (is_leaving_grace_over() || (m_settings.dynamic_upstream && !m_upstream_state.present))
+        return not_run_refusal(refusal_reason::leaving);
+    if (const auto refused = check_quarantine(entry.request))
+        return refused;
+    if (!needs_isolation(entry.request))
+        return std::nullopt;
+    // Suspects run one at a time, so that a further crash has a single suspect.
+    const bool other_runs = std::ranges::any_of(
+        m_calls, [this](const auto& each) { return each.second.is_running && needs_isolation(each.second.request); });
+    return other_runs ? std::optional(not_run_refusal(refusal_reason::request_isolated, isolation_retry_after))
+                      : std::nullopt;
+}
+
 void guard_service::on_refused(const attempt_id& id, const refusal& details)
 {
     auto node = m_calls.extract(id);
@@ -344,6 +374,8 @@
     const bool failed = is_server_error(response.status);
     m_admission.finished(entry.request.attempt, service_time,
                          failed ? finish_result::failed : finish_result::succeeded);
+    if (!failed && m_settings.quarantine != nullptr)
+        m_settings.quarantine->on_completed(entry.request.fingerprint);
     call_response out;
     out.result = outcome::ran;
     out.status = response.status;
@@ -385,6 +417,8 @@
     for (const request_fingerprint fingerprint : lost_calls)
         log_info(log_part, "Request {:016x} was running when upstream {} crashed.", fingerprint,
                  m_upstream_state.instance);
+    if (m_settings.quarantine != nullptr)
+        m_settings.quarantine->on_upstream_crashed(lost_calls);
 }
 
 std::optional<time_point> guard_service::oldest_running_call() const
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -11,6 +11,7 @@
 #include "plugins/guard/crashdetector.h"
 #include "plugins/guard/upstreamnoticetracker.h"
 #include "plugins/idempotency/idempotencytable.h"
+#include "plugins/quarantine/requestquarantine.h"
 
 #include <functional>
 #include <memory>
@@ -47,6 +48,8 @@
     std::function<std::vector<downstream_load>()> downstream_report;
     /// Called when the guard learns that its upstream is leaving. May be empty.
     std::function<void(leaving_source)> on_upstream_leaving;
+    /// Must outlive the guard. May be null; then requests that crash upstreams are not refused.
+    request_quarantine* quarantine = nullptr;
 };
 
 /// State of the upstream beside this node, as the upstream announced it.
@@ -129,6 +132,10 @@
     void on_refused(const attempt_id& id, const refusal& details) override;
 
     std::optional<refusal> check(std::string_view sender_name, const call_request& request);
+    /// Checks an admitted call again just before it is forwarded.
+    std::optional<refusal> check_before_forwarding(const call& entry);
+    std::optional<refusal> check_quarantine(const call_request& request) const;
+    bool needs_isolation(const call_request& request) const;
     bool is_leaving_grace_over() const;
     bool reports_not_executed(const http_response& response) const;
     void record_notice(const call& entry, const http_response& response);
--- a/src/plugins/retry/retrypolicy.cpp
+++ b/src/plugins/retry/retrypolicy.cpp
@@ -19,6 +19,7 @@
     case refusal_reason::connection_lost:
     case refusal_reason::upstream_limited:
         return retry_timing::immediate;
+    case refusal_reason::request_isolated:
     case refusal_reason::queue_full:
     case refusal_reason::queue_delay:
     case refusal_reason::importance_shed:
--- a/tests/auto/app/node/testfleet.cpp
+++ b/tests/auto/app/node/testfleet.cpp
@@ -165,8 +165,9 @@
                                              return wall_start + std::chrono::floor<std::chrono::milliseconds>(
                                                                      m_timers.now().time_since_epoch());
                                          }});
-    for (const control_channel channel : {control_channel::membership, control_channel::configuration,
-                                          control_channel::shares, control_channel::account})
+    for (const control_channel channel :
+         {control_channel::membership, control_channel::configuration, control_channel::shares,
+          control_channel::account, control_channel::quarantine})
         m_control.attach(name, channel, &entry.running->handler(channel));
     m_calls.attach(name, &entry.running->guard(), entry.timers.get());
 }
@@ -174,8 +175,9 @@
 void test_fleet::stop(const std::string& name)
 {
     fleet_node& entry = *m_nodes.at(name);
-    for (const control_channel channel : {control_channel::membership, control_channel::configuration,
-                                          control_channel::shares, control_channel::account})
+    for (const control_channel channel :
+         {control_channel::membership, control_channel::configuration, control_channel::shares,
+          control_channel::account, control_channel::quarantine})
         m_control.attach(name, channel, nullptr);
     m_calls.attach(name, nullptr, nullptr);
     entry.running.reset();
--- a/tests/auto/app/node/tst_nodecrashes.cpp
+++ b/tests/auto/app/node/tst_nodecrashes.cpp
@@ -37,4 +37,47 @@
     BOOST_TEST(scenario.runs_after_third_crash() <= allowed_retries);
 }
 
+// Guards against requests that are refused because upstreams were lost for other reasons while running them.
+BOOST_FIXTURE_TEST_CASE(requests_of_upstreams_lost_for_other_reasons_are_refused, crash_fixture)
+{
+    scenario.send_beside_crashes({"popular"}, 15s, 20ms, 3s);
+    scenario.send_beside_crashes({"a", "b", "c", "d"}, 20s, 1s, 2500ms);
+    fleet.run(5s);
+    BOOST_TEST(scenario.count_unserved({"popular", "a", "b", "c", "d", "new"}) == 0U);
+}
+
+// Guards against nodes that forget the crashing request when they restart, one after the other.
+BOOST_FIXTURE_TEST_CASE(restarted_nodes_send_the_crashing_request_again, crash_fixture)
+{
+    scenario.send_crashing_requests(8s, 300ms);
+    const std::size_t runs = scenario.crashing_runs();
+    for (const std::string& node : fleet.names()) {
+        fleet.stop(node);
+        fleet.run(2s);
+        fleet.start(node);
+        fleet.run(6s);
+        scenario.send(node, "crash");
+        fleet.run(1s);
+    }
+    BOOST_TEST(runs >= 3U);
+    BOOST_TEST(scenario.crashing_runs() == runs);
+}
+
+// Guards against a failure domain that was cut off during the crashes and sends the request to its upstreams
+// afterwards.
+BOOST_FIXTURE_TEST_CASE(domain_cut_off_during_the_crashes_sends_the_request, crash_fixture)
+{
+    fleet.set_group("curepipe", 1);
+    for (int i = 0; i < 20; ++i) {
+        scenario.send("orders-quay-1", "crash");
+        fleet.run(300ms);
+    }
+    const std::size_t runs = scenario.crashing_runs();
+    fleet.set_group("curepipe", 0);
+    fleet.run(10s);
+    scenario.send_crashing_requests(10s, 300ms);
+    BOOST_TEST(runs >= 3U);
+    BOOST_TEST(scenario.crashing_runs() == runs);
+}
+
 } // namespace mulberry
--- a/tests/auto/app/sidecar/sidecarfleet.cpp
+++ b/tests/auto/app/sidecar/sidecarfleet.cpp
@@ -115,6 +115,7 @@
     entry.running =
         std::make_unique<sidecar_node>(entry.settings, node_id{name, ++m_incarnations}, make_fields(), environment);
     m_control.attach(name, control_channel::quota, &entry.running->quotas());
+    m_control.attach(name, control_channel::quarantine, &entry.running->quarantine());
     m_calls.attach(name, &entry.running->guard(), entry.timers.get());
     entry.running->start();
     entry.running->apply(make_configuration());
@@ -125,6 +126,7 @@
 {
     fleet_node& entry = *m_nodes.at(name);
     m_control.attach(name, control_channel::quota, nullptr);
+    m_control.attach(name, control_channel::quarantine, nullptr);
     m_calls.attach(name, nullptr, nullptr);
     entry.running.reset();
     entry.transport.reset();
--- a/tests/auto/app/sidecar/tst_sidecarcrashes.cpp
+++ b/tests/auto/app/sidecar/tst_sidecarcrashes.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t allowed_retries = 3;
 
 struct crash_fixture {
-    sidecar_fleet fleet{8, 1};
+    sidecar_fleet fleet;
     int last_id = 0;
     crash_scenario<sidecar_fleet> scenario{
         fleet, [this](const std::string& content) {
@@ -24,7 +24,7 @@
             return request;
         }};
 
-    crash_fixture()
+    explicit crash_fixture(int nodes = 8) : fleet(nodes, 1)
     {
         fleet.on_run = [this](const http_request& request) { scenario.record_run(request); };
     }
@@ -40,4 +40,96 @@
     BOOST_TEST(scenario.runs_after_third_crash() <= allowed_retries);
 }
 
+// Guards against a popular request that is refused because it was running at every crash.
+BOOST_FIXTURE_TEST_CASE(popular_request_beside_a_crashing_one_is_refused, crash_fixture)
+{
+    for (int i = 0; i < 200; ++i) {
+        for (const std::string& node : fleet.names())
+            scenario.send(node, "popular");
+        if (i % 3 == 0)
+            scenario.send(fleet.names()[static_cast<std::size_t>(i) % 8], "crash");
+        fleet.run(100ms);
+    }
+    fleet.run(3s);
+    BOOST_TEST(scenario.runs_after_third_crash() <= allowed_retries);
+    BOOST_TEST(scenario.count_unserved({"popular"}) == 0U);
+}
+
+// Guards against requests that are refused because they were running beside the crashing one, although each was sent
+// only once.
+BOOST_FIXTURE_TEST_CASE(rare_requests_beside_a_crashing_one_are_refused, crash_fixture)
+{
+    std::vector<std::string> rare;
+    for (int i = 0; i < 200; ++i) {
+        rare.push_back("rare" + std::to_string(i));
+        scenario.send(fleet.names()[static_cast<std::size_t>(i) % 8], rare.back());
+        if (i % 3 == 0)
+            scenario.send(fleet.names()[static_cast<std::size_t>(i) % 5], "crash");
+        fleet.run(20ms);
+    }
+    fleet.run(3s);
+    BOOST_TEST(scenario.crashing_runs() >= 3U);
+    BOOST_TEST(scenario.count_unserved(rare) == 0U);
+}
+
+// Guards against requests that are refused because upstreams were lost for other reasons while running them: all at
+// once again and again, with popular requests, some that come every second, and one that had not been sent before.
+BOOST_FIXTURE_TEST_CASE(requests_of_upstreams_lost_for_other_reasons_are_refused, crash_fixture)
+{
+    scenario.send_beside_crashes({"popular"}, 20s, 10ms, 3s);
+    scenario.send_beside_crashes({"a", "b", "c", "d"}, 30s, 1s, 2500ms);
+    fleet.run(5s);
+    for (const std::string& node : fleet.names())
+        BOOST_TEST(fleet.at(node).quarantine().quarantined() == 0U);
+    BOOST_TEST(scenario.count_unserved({"popular", "a", "b", "c", "d", "new"}) == 0U);
+}
+
+// Guards against nodes that forget the crashing request when they restart, one after the other.
+BOOST_FIXTURE_TEST_CASE(restarted_nodes_send_the_crashing_request_again, crash_fixture)
+{
+    scenario.send_crashing_requests(8s, 300ms);
+    const std::size_t runs = scenario.crashing_runs();
+    for (const std::string& node : fleet.names()) {
+        fleet.stop(node);
+        fleet.run(1s);
+        fleet.start(node);
+        fleet.run(4s);
+        scenario.send(node, "crash");
+        fleet.run(1s);
+    }
+    BOOST_TEST(runs >= 3U);
+    BOOST_TEST(scenario.crashing_runs() == runs);
+}
+
+// Guards against nodes that were cut off during the crashes and send the request to upstreams afterwards.
+BOOST_FIXTURE_TEST_CASE(nodes_cut_off_during_the_crashes_send_the_request, crash_fixture)
+{
+    const std::vector<std::string> names = fleet.names();
+    for (std::size_t i = 4; i < names.size(); ++i)
+        fleet.set_group(names[i], 1);
+    for (int i = 0; i < 20; ++i) {
+        scenario.send(names[static_cast<std::size_t>(i) % 4], "crash");
+        fleet.run(300ms);
+    }
+    const std::size_t runs = scenario.crashing_runs();
+    for (std::size_t i = 0; i < 4; ++i)
+        fleet.set_group(names[i], 1);
+    fleet.run(4s);
+    scenario.send_crashing_requests(10s, 300ms);
+    BOOST_TEST(runs >= 3U);
+    BOOST_TEST(scenario.crashing_runs() == runs);
+}
+
+// Guards against a fleet of many nodes in which not all learn of the crashing request.
+BOOST_AUTO_TEST_CASE(node_of_a_large_fleet_sends_the_crashing_request)
+{
+    crash_fixture large(60);
+    large.scenario.send_crashing_requests(5s, 100ms);
+    const std::size_t runs = large.scenario.crashing_runs();
+    for (const std::string& node : large.fleet.names())
+        BOOST_TEST(large.fleet.at(node).quarantine().quarantined() == 1U);
+    large.scenario.send_crashing_requests(10s, 100ms);
+    BOOST_TEST(large.scenario.crashing_runs() == runs);
+}
+
 } // namespace mulberry
--- a/tests/fakes/crashscenario.h
+++ b/tests/fakes/crashscenario.h
@@ -4,6 +4,7 @@
 #include "libs/http/httpclient.h"
 #include "plugins/entry/callerrequest.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <string>
@@ -56,6 +57,44 @@
         }
     }
 
+    /// Sends requests with these contents to one node after the other, all of them once per `period`, and crashes every
+    /// `crash_period` all upstreams at once for reasons of their own.
+    void send_beside_crashes(const std::vector<std::string>& contents, duration length, duration period,
+                             duration crash_period)
+    {
+        const std::vector<std::string> nodes = m_fleet.names();
+        const time_point end = m_fleet.timers().now() + length;
+        time_point next_crash = m_fleet.timers().now() + crash_period;
+        for (std::size_t i = 0; m_fleet.timers().now() < end; ++i) {
+            for (const std::string& content : contents)
+                send(nodes[i % nodes.size()], content);
+            m_fleet.run(period);
+            if (m_fleet.timers().now() < next_crash)
+                continue;
+            next_crash += crash_period;
+            for (const std::string& node : nodes)
+                m_fleet.upstream(node).crash(m_fleet.crashing_requests.downtime);
+        }
+    }
+
+    /// Sends each content once to every node, one after the other, and returns how many of the responses have another
+    /// status than 200.
+    std::size_t count_unserved(const std::vector<std::string>& contents)
+    {
+        m_statuses.clear();
+        std::size_t sent = 0;
+        for (const std::string& node : m_fleet.names()) {
+            for (const std::string& content : contents) {
+                send(node, content);
+                m_fleet.run(std::chrono::milliseconds(100));
+                ++sent;
+            }
+        }
+        m_fleet.run(std::chrono::seconds(3));
+        const auto served = std::ranges::count(m_statuses, 200);
+        return sent - static_cast<std::size_t>(served);
+    }
+
     std::size_t crashing_runs() const { return m_crashing_runs.size(); }
     /// Number of times that the crashing request reached an upstream later than the stable window after its third
     /// crash.
