--- a/tests/auto/app/node/testfleet.cpp
+++ b/tests/auto/app/node/testfleet.cpp
@@ -81,12 +81,6 @@
 
 } // namespace
 
-class test_fleet::null_observer final : public request_observer {
-public:
-    void on_finished(const decision_record&) override {}
-    void on_retry_decision(refusal_reason, std::optional<retry_refusal>) override {}
-};
-
 struct test_fleet::fleet_node {
     node_settings settings;
     duration service_time{0};
@@ -97,8 +91,7 @@
     std::unique_ptr<node> running;
 };
 
-test_fleet::test_fleet(const fleet_plan& plan, std::uint64_t seed)
-    : m_random(seed), m_observer(std::make_unique<null_observer>())
+test_fleet::test_fleet(const fleet_plan& plan, std::uint64_t seed) : m_random(seed)
 {
     set_log_level(log_level::off);
     write(service_document_key("orders"), insert_slots(orders_document, plan.slots));
@@ -161,7 +154,7 @@
     }
     entry.running = std::make_unique<node>(
         entry.settings, node_environment{*entry.timers, m_random, m_random, m_control.link(name), *entry.store,
-                                         *entry.transport, *entry.upstream, *m_observer, [this] {
+                                         *entry.transport, *entry.upstream, m_observer, [this] {
                                              return wall_start + std::chrono::floor<std::chrono::milliseconds>(
                                                                      m_timers.now().time_since_epoch());
                                          }});
--- a/tests/auto/app/sidecar/sidecarfleet.cpp
+++ b/tests/auto/app/sidecar/sidecarfleet.cpp
@@ -44,12 +44,6 @@
 
 } // namespace
 
-class sidecar_fleet::null_observer final : public request_observer {
-public:
-    void on_finished(const decision_record&) override {}
-    void on_retry_decision(refusal_reason, std::optional<retry_refusal>) override {}
-};
-
 struct sidecar_fleet::fleet_node {
     sidecar_settings settings;
     std::unique_ptr<fake_upstream> upstream;
@@ -61,8 +55,7 @@
     std::unique_ptr<sidecar_node> running;
 };
 
-sidecar_fleet::sidecar_fleet(int nodes, std::uint64_t seed)
-    : m_random(seed), m_observer(std::make_unique<null_observer>())
+sidecar_fleet::sidecar_fleet(int nodes, std::uint64_t seed) : m_random(seed)
 {
     set_log_level(log_level::off);
     for (int number = 1; number <= nodes; ++number) {
@@ -111,7 +104,7 @@
     const sidecar_environment environment{
         *entry.timers,   m_random,         m_random,
         *entry.store,    *entry.transport, m_control.link(name),
-        *entry.upstream, *m_observer,      [this] { return std::optional(m_timers.now()); }};
+        *entry.upstream, m_observer,       [this] { return std::optional(m_timers.now()); }};
     entry.running =
         std::make_unique<sidecar_node>(entry.settings, node_id{name, ++m_incarnations}, make_fields(), environment);
     m_control.attach(name, control_channel::quota, &entry.running->quotas());
--- a/tests/auto/app/sidecar/sidecarfleet.h
+++ b/tests/auto/app/sidecar/sidecarfleet.h
@@ -5,6 +5,7 @@
 #include "fakes/fakecontrolnetwork.h"
 #include "fakes/fakeupstream.h"
 #include "fakes/faultystore.h"
+#include "fakes/ignoringobserver.h"
 #include "fakes/nodetimers.h"
 #include "fakes/virtualtimerservice.h"
 
@@ -46,7 +47,6 @@
 
 private:
     struct fleet_node;
-    class null_observer;
 
     void report_upstream(fleet_node& entry);
 
@@ -55,7 +55,7 @@
     memory_store m_store{m_timers};
     fake_control_network m_control{m_timers, m_random};
     fake_call_network m_calls{m_timers, m_random};
-    std::unique_ptr<null_observer> m_observer;
+    ignoring_observer m_observer;
     std::map<std::string, std::unique_ptr<fleet_node>> m_nodes;
     std::uint64_t m_incarnations = 0;
 };
--- a/tests/auto/app/sidecar/tst_sidecarnode.cpp
+++ b/tests/auto/app/sidecar/tst_sidecarnode.cpp
@@ -1,6 +1,7 @@
 #include "app/sidecar/sidecarnode.h"
 #include "fakes/fakeupstream.h"
 #include "fakes/faultystore.h"
+#include "fakes/ignoringobserver.h"
 #include "fakes/virtualtimerservice.h"
 
 #include <memory>
@@ -16,12 +17,6 @@
 
 using namespace std::chrono_literals;
 
-class ignoring_observer final : public request_observer {
-public:
-    void on_finished(const decision_record&) override {}
-    void on_retry_decision(refusal_reason, std::optional<retry_refusal>) override {}
-};
-
 /// No other node is reachable.
 class unreachable_network final : public call_transport, public control_link {
 public:
--- a/tests/auto/plugins/guard/tst_guard.cpp
+++ b/tests/auto/plugins/guard/tst_guard.cpp
@@ -1,4 +1,5 @@
 #include "fakes/fakeupstream.h"
+#include "fakes/ignoringobserver.h"
 #include "fakes/virtualtimerservice.h"
 #include "libs/base/invariant.h"
 #include "plugins/calls/headerpolicy.h"
@@ -15,12 +16,6 @@
 
 using namespace std::chrono_literals;
 
-class ignoring_observer final : public request_observer {
-public:
-    void on_finished(const decision_record&) override {}
-    void on_retry_decision(refusal_reason, std::optional<retry_refusal>) override {}
-};
-
 struct guard_fixture {
     virtual_timer_service timers;
     seeded_random_source random{5};
--- a/tests/auto/plugins/guard/tst_upstreamrate.cpp
+++ b/tests/auto/plugins/guard/tst_upstreamrate.cpp
@@ -1,4 +1,5 @@
 #include "fakes/fakeupstream.h"
+#include "fakes/ignoringobserver.h"
 #include "fakes/virtualtimerservice.h"
 #include "plugins/guard/guardservice.h"
 
@@ -24,12 +25,6 @@
 constexpr double allowed_ratio = 1.5;
 constexpr double allowed_excess = 5;
 
-class ignoring_observer final : public request_observer {
-public:
-    void on_finished(const decision_record&) override {}
-    void on_retry_decision(refusal_reason, std::optional<retry_refusal>) override {}
-};
-
 /// An upstream that names a limit, and callers that send far more calls.
 struct limited_upstream_fixture {
     virtual_timer_service timers;
