Draw conclusions about a crash after all its requests have been added

Where upstreams crash for reasons of their own, many requests share the crashes, and none of them may be refused.

Conclusions are now drawn once a report has been merged.

--- a/src/plugins/quarantine/quarantineservice.cpp
+++ b/src/plugins/quarantine/quarantineservice.cpp
@@ -88,18 +88,16 @@
     detail::suspected_run run;
     run.crash = std::max<crash_id>(XXH3_64bits_withSeed(name.data(), name.size(), ++m_crashes), 1);
     run.crashed_at = now;
-    std::size_t reported = 0;
+    std::vector<request_fingerprint> suspected;
     for (const request_fingerprint fingerprint : running) {
-        if (fingerprint == 0 || m_completions.contains(fingerprint, now) || reported == max_message_fingerprints)
+        if (fingerprint == 0 || m_completions.contains(fingerprint, now))
             continue;
         run.fingerprint = fingerprint;
         run.is_isolated = fingerprint == isolated;
-        if (!m_suspects.add_crash(run, now))
-            continue;
-        ++reported;
-        on_suspected(fingerprint);
-        schedule_gossip(fingerprint);
+        if (suspected.size() < max_message_fingerprints && m_suspects.add_crash(run, now))
+            suspected.push_back(fingerprint);
     }
+    on_suspected(suspected);
 }
 
 request_fingerprint quarantine_service::isolated_suspect(std::span<const request_fingerprint> running) const
@@ -115,15 +113,20 @@
     return found;
 }
 
-void quarantine_service::on_suspected(request_fingerprint fingerprint)
+void quarantine_service::on_suspected(std::span<const request_fingerprint> fingerprints)
 {
-    const std::size_t crashes = m_suspects.crash_count(fingerprint);
-    if (m_suspects.is_conclusive(fingerprint)) {
-        log_warning(log_part, "Request {:016x} is refused: {} upstreams crashed while running it.", fingerprint,
-                    crashes);
-    }
-    else if (crashes >= isolation_crashes) {
-        log_info(log_part, "Request {:016x} runs apart: {} upstreams crashed while running it.", fingerprint, crashes);
+    m_suspects.update_conclusions();
+    for (const request_fingerprint fingerprint : fingerprints) {
+        schedule_gossip(fingerprint);
+        const std::size_t crashes = m_suspects.crash_count(fingerprint);
+        if (m_suspects.is_conclusive(fingerprint)) {
+            log_warning(log_part, "Request {:016x} is refused: {} upstreams crashed while running it.", fingerprint,
+                        crashes);
+        }
+        else if (crashes >= isolation_crashes) {
+            log_info(log_part, "Request {:016x} runs apart: {} upstreams crashed while running it.", fingerprint,
+                     crashes);
+        }
     }
 }
 
@@ -132,8 +135,7 @@
     const auto message = decode_quarantine_message(payload);
     if (!message)
         return log_warning(log_part, "Ignoring a malformed message from {}.", from);
-    for (const crash_report& report : message->reports)
-        merge(report);
+    merge(message->reports);
     if (message->kind == quarantine_message_kind::gossip || message->digest == m_suspects.digest())
         return;
     quarantine_message response;
@@ -145,7 +147,15 @@
     send(from, response);
 }
 
-void quarantine_service::merge(const crash_report& report)
+void quarantine_service::merge(std::span<const crash_report> reports)
+{
+    std::vector<request_fingerprint> suspected;
+    for (const crash_report& report : reports)
+        merge(report, suspected);
+    on_suspected(suspected);
+}
+
+void quarantine_service::merge(const crash_report& report, std::vector<request_fingerprint>& suspected)
 {
     if (report.id == 0 || report.age > detail::suspect_table::conclusive_retention)
         return;
@@ -163,10 +173,9 @@
         run.is_isolated = fingerprint == report.isolated_suspect;
         if (!m_suspects.add_crash(run, now))
             continue;
-        schedule_gossip(fingerprint);
         if (m_completions.contains(fingerprint, now))
             m_suspects.clear(fingerprint);
-        on_suspected(fingerprint);
+        suspected.push_back(fingerprint);
     }
 }
 
--- a/src/plugins/quarantine/quarantineservice.h
+++ b/src/plugins/quarantine/quarantineservice.h
@@ -36,10 +36,13 @@
     std::size_t suspects() const { return m_suspects.size(); }
 
 private:
-    void merge(const crash_report& report);
+    void merge(std::span<const crash_report> reports);
+    /// Adds a report and appends the requests with a new crash to `suspected`.
+    void merge(const crash_report& report, std::vector<request_fingerprint>& suspected);
     /// The only one of these requests that has run at several crashes; 0 if there is none or more than one.
     request_fingerprint isolated_suspect(std::span<const request_fingerprint> running) const;
-    void on_suspected(request_fingerprint fingerprint);
+    /// Draws conclusions about requests with a new crash and logs them.
+    void on_suspected(std::span<const request_fingerprint> fingerprints);
     void schedule_gossip(request_fingerprint fingerprint);
     void gossip();
     void synchronise();
--- a/src/plugins/quarantine/suspecttable.cpp
+++ b/src/plugins/quarantine/suspecttable.cpp
@@ -67,16 +67,12 @@
     if (crash* known = found.find(run.crash)) {
         const bool is_new = run.is_isolated && !known->is_isolated;
         known->is_isolated |= run.is_isolated;
-        if (is_new)
-            update_conclusions();
         return is_new;
     }
     crash* entry = found.free_entry();
     if (entry == nullptr)
         return false;
     *entry = {run.crash, false, run.is_isolated};
-    if (found.crash_count() >= conclusive_crashes)
-        update_conclusions();
     return true;
 }
 
--- a/src/plugins/quarantine/suspecttable.h
+++ b/src/plugins/quarantine/suspecttable.h
@@ -27,6 +27,9 @@
 public:
     /// Adds a crash of a request. Returns whether that was not known yet.
     bool add_crash(const suspected_run& run, time_point now);
+    /// Draws conclusions from the crashes that were added. Called after all requests of a crash have been added,
+    /// because it matters which of them share other crashes.
+    void update_conclusions();
     /// Records that the request did not cause the crash. Returns whether that was not known yet.
     bool add_cleared(const suspected_run& run, time_point now);
     /// Clears the request of all its crashes. Returns whether there was one that it was not cleared of.
@@ -88,7 +91,6 @@
 
     suspect& find_or_insert(request_fingerprint fingerprint, time_point now);
     void remove_least_suspicious();
-    void update_conclusions();
 
     std::unordered_map<request_fingerprint, suspect> m_suspects;
 };
--- a/tests/auto/app/sidecar/tst_sidecarcrashes.cpp
+++ b/tests/auto/app/sidecar/tst_sidecarcrashes.cpp
@@ -84,6 +84,20 @@
     BOOST_TEST(scenario.count_unserved({"popular", "a", "b", "c", "d", "new"}) == 0U);
 }
 
+// Guards against requests that are refused because all upstreams were lost several times before they had completed any
+// of them.
+BOOST_FIXTURE_TEST_CASE(new_requests_lost_with_all_upstreams_are_refused, crash_fixture)
+{
+    const std::vector<std::string> contents{"a", "b", "c", "d", "e"};
+    for (const std::string& node : fleet.names())
+        fleet.upstream(node).set_faults({.service_time = 1s});
+    scenario.send_beside_crashes(contents, 10s, 100ms, 2s);
+    for (const std::string& node : fleet.names())
+        fleet.upstream(node).set_faults({});
+    fleet.run(5s);
+    BOOST_TEST(scenario.count_unserved(contents) == 0U);
+}
+
 // Guards against nodes that forget the crashing request when they restart, one after the other.
 BOOST_FIXTURE_TEST_CASE(restarted_nodes_send_the_crashing_request_again, crash_fixture)
 {
--- a/tests/auto/plugins/entry/tst_entry.cpp
+++ b/tests/auto/plugins/entry/tst_entry.cpp
@@ -1,3 +1,5 @@
+#include "fakes/fakequarantine.h"
+#include "fakes/ignoringobserver.h"
 #include "fakes/virtualtimerservice.h"
 #include "libs/base/asyncerror.h"
 #include "plugins/calls/headerpolicy.h"
@@ -59,11 +61,6 @@
     void remove_listener(member_listener&) override {}
 };
 
-struct ignoring_observer final : request_observer {
-    void on_finished(const decision_record&) override {}
-    void on_retry_decision(refusal_reason, std::optional<retry_refusal>) override {}
-};
-
 /// Responds to each attempt with the next entry of a script. Attempts after the last entry get no response.
 struct scripted_transport final : call_transport {
     explicit scripted_transport(timer_service& service) : timers(service) {}
@@ -128,6 +125,7 @@
     empty_directory members;
     scripted_transport transport{timers};
     ignoring_observer observer;
+    fake_quarantine quarantine;
     windowed_retry_budget_settings retry_bound{1, 20, 10s};
     double repeat_share = 0;
     std::unique_ptr<entry_service> entry;
@@ -150,9 +148,9 @@
         settings.fractional_retry_after = true;
         settings.make_retry_budget = [this] { return std::make_unique<windowed_retry_budget>(retry_bound, timers); };
         settings.upstream_repeat_share = [this] { return repeat_share; };
-        entry = std::make_unique<entry_service>(settings, entry_dependencies{timers, random, random, documents, rates,
-                                                                             throttle, selector, members, transport,
-                                                                             observer, &downstream, &bottlenecks});
+        entry = std::make_unique<entry_service>(
+            settings, entry_dependencies{timers, random, random, documents, rates, throttle, selector, members,
+                                         transport, observer, &downstream, &bottlenecks, &quarantine});
     }
 
     int send(header_list headers = {{"Authorization", "Bearer good"}, {"Mulberry-Request-Id", "r-9"}},
@@ -194,6 +192,26 @@
     }
 }
 
+// Guards against a request that is sent although it crashes upstreams, and against a refusal that doesn't say when to
+// come back.
+BOOST_FIXTURE_TEST_CASE(request_in_quarantine_is_sent, entry_fixture)
+{
+    quarantine.refuses_all = true;
+    BOOST_TEST(send() == 503);
+    BOOST_TEST(!find_header(received_response->headers, "Retry-After").empty());
+    BOOST_TEST(transport.calls.empty());
+}
+
+// Guards against another attempt of a request that came into quarantine during the first, and against a refusal that
+// says that it has not run.
+BOOST_FIXTURE_TEST_CASE(request_that_came_into_quarantine_is_retried, entry_fixture)
+{
+    transport.script = {make_refusal(refusal_reason::connection_lost, outcome::unknown), make_response()};
+    timers.schedule(5ms, [this] { quarantine.refuses_all = true; });
+    BOOST_TEST(send() == 502);
+    BOOST_TEST(transport.calls.size() == 1U);
+}
+
 // A request that is not idempotent must not run twice: it is retried only if the failed attempt has not run.
 BOOST_FIXTURE_TEST_CASE(only_requests_that_have_not_run_are_retried, entry_fixture)
 {
