Keep requests in quarantine in the store

When all nodes were killed at once, nothing was left that knew the crashing request, and it ended three upstreams again. One write per request in quarantine and one read per start of a node.

Evidence: fleet_sends_the_crashing_request_after_a_restart_of_all_nodes fails without the write, for both kinds of node; crashing_request_is_kept_in_the_store covers a store that is away at both moments.

--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -126,7 +126,7 @@
     m_organisation_shares = std::make_unique<shares::share_service>(
         std::move(share_options), m_timers, environment.random, environment.control, environment.store);
     m_quarantine = std::make_unique<quarantine_service>(m_settings.self, m_timers, environment.random, *m_members,
-                                                        environment.control);
+                                                        environment.control, environment.store);
     decision_log_settings account;
     account.node = m_settings.self.name;
     account.max_bytes = m_settings.account_memory_bytes;
--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -92,8 +92,8 @@
     m_registry->on_earlier_run([this](const member& previous_run) { restore_upstream(previous_run); });
     m_quotas =
         std::make_unique<quota_service>(quota_settings{}, m_self.name, m_timers, *m_registry, environment.control);
-    m_quarantine =
-        std::make_unique<quarantine_service>(m_self, m_timers, environment.random, *m_registry, environment.control);
+    m_quarantine = std::make_unique<quarantine_service>(m_self, m_timers, environment.random, *m_registry,
+                                                        environment.control, environment.store);
     m_throttle = std::make_unique<entry_throttle>(throttle_settings{}, m_timers, environment.random);
     routing_settings routing;
     routing.ramp_duration = upstream_ramp_duration;
--- a/src/plugins/quarantine/quarantineservice.cpp
+++ b/src/plugins/quarantine/quarantineservice.cpp
@@ -3,6 +3,7 @@
 #include "libs/base/log.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <xxhash.h>
@@ -23,6 +24,8 @@
 constexpr duration startup_sync_time = std::chrono::seconds(10);
 /// Maximum number of requests in one synchronisation.
 constexpr std::size_t max_sync_requests = 128;
+/// Number of crashes of the own upstream that are remembered.
+constexpr std::size_t max_own_crashes = 64;
 /// Retry-After of refused requests. They would only be refused again.
 constexpr duration quarantine_retry_after = std::chrono::seconds(60);
 
@@ -46,10 +49,13 @@
 } // namespace
 
 quarantine_service::quarantine_service(node_id self, timer_service& timers, random_source& random,
-                                       const member_directory& members, control_link& control)
+                                       const member_directory& members, control_link& control, key_value_store& store)
     : m_self(std::move(self)), m_timers(timers), m_random(random), m_members(members), m_control(control),
-      m_started_at(timers.now()), m_sync_timer(timers, sync_period, [this] { synchronise(); })
+      m_started_at(timers.now()),
+      m_archive(timers, random, store, [this](const std::vector<crash_report>& reports) { merge(reports); }),
+      m_sync_timer(timers, sync_period, [this] { synchronise(); })
 {
+    m_archive.start();
 }
 
 quarantine_service::~quarantine_service()
@@ -88,6 +94,9 @@
     detail::suspected_run run;
     run.crash = std::max<crash_id>(XXH3_64bits_withSeed(name.data(), name.size(), ++m_crashes), 1);
     run.crashed_at = now;
+    m_own_crashes.push_back(run.crash);
+    if (m_own_crashes.size() > max_own_crashes)
+        m_own_crashes.pop_front();
     std::vector<request_fingerprint> suspected;
     for (const request_fingerprint fingerprint : running) {
         if (fingerprint == 0 || m_completions.contains(fingerprint, now))
@@ -122,6 +131,7 @@
         if (m_suspects.is_conclusive(fingerprint)) {
             log_warning(log_part, "Request {:016x} is refused: {} upstreams crashed while running it.", fingerprint,
                         crashes);
+            save(fingerprint);
         }
         else if (crashes >= isolation_crashes) {
             log_info(log_part, "Request {:016x} runs apart: {} upstreams crashed while running it.", fingerprint,
@@ -130,6 +140,17 @@
     }
 }
 
+void quarantine_service::save(request_fingerprint fingerprint)
+{
+    const std::array<request_fingerprint, 1> saved{fingerprint};
+    auto reports = m_suspects.reports(saved, m_timers.now());
+    const bool is_own = std::ranges::any_of(reports, [this](const crash_report& report) {
+        return std::ranges::find(m_own_crashes, report.id) != m_own_crashes.end();
+    });
+    if (is_own)
+        m_archive.save(fingerprint, std::move(reports));
+}
+
 void quarantine_service::on_message(std::string_view from, std::string_view payload)
 {
     const auto message = decode_quarantine_message(payload);
--- a/src/plugins/quarantine/quarantineservice.h
+++ b/src/plugins/quarantine/quarantineservice.h
@@ -5,9 +5,11 @@
 #include "libs/base/randomsource.h"
 #include "plugins/membership/memberdirectory.h"
 #include "plugins/quarantine/completioncache.h"
+#include "plugins/quarantine/quarantinearchive.h"
 #include "plugins/quarantine/requestquarantine.h"
 #include "plugins/quarantine/suspecttable.h"
 
+#include <deque>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,7 +22,7 @@
 class quarantine_service final : public request_quarantine, public control_handler {
 public:
     quarantine_service(node_id self, timer_service& timers, random_source& random, const member_directory& members,
-                       control_link& control);
+                       control_link& control, key_value_store& store);
     ~quarantine_service() override;
 
     std::optional<refusal> check(request_fingerprint fingerprint) override;
@@ -43,6 +45,8 @@
     request_fingerprint isolated_suspect(std::span<const request_fingerprint> running) const;
     /// Draws conclusions about requests with a new crash and logs them.
     void on_suspected(std::span<const request_fingerprint> fingerprints);
+    /// Writes a request in quarantine to the store if the upstream beside this node is among those that crashed.
+    void save(request_fingerprint fingerprint);
     void schedule_gossip(request_fingerprint fingerprint);
     void gossip();
     void synchronise();
@@ -57,7 +61,10 @@
     time_point m_started_at;
     detail::suspect_table m_suspects;
     detail::completion_cache m_completions;
+    quarantine_archive m_archive;
     std::uint64_t m_crashes = 0;
+    /// The last crashes of the upstream beside this node.
+    std::deque<crash_id> m_own_crashes;
     /// Requests about which something new is to be passed on.
     std::set<request_fingerprint> m_changed;
     timer_id m_gossip_timer = 0;
--- a/tests/auto/app/node/tst_nodecrashes.cpp
+++ b/tests/auto/app/node/tst_nodecrashes.cpp
@@ -63,6 +63,22 @@
     BOOST_TEST(scenario.crashing_runs() == runs);
 }
 
+// Guards against a fleet that sends the crashing request to upstreams again after all its nodes were killed at once.
+BOOST_FIXTURE_TEST_CASE(fleet_sends_the_crashing_request_after_a_restart_of_all_nodes, crash_fixture)
+{
+    scenario.send_crashing_requests(8s, 300ms);
+    const std::size_t runs = scenario.crashing_runs();
+    for (const std::string& node : fleet.names())
+        fleet.stop(node);
+    fleet.run(1s);
+    for (const std::string& node : fleet.names())
+        fleet.start(node);
+    fleet.run_until_ready();
+    scenario.send_crashing_requests(10s, 300ms);
+    BOOST_TEST(runs >= 3U);
+    BOOST_TEST(scenario.crashing_runs() == runs);
+}
+
 // Guards against a failure domain that was cut off during the crashes and sends the request to its upstreams
 // afterwards.
 BOOST_FIXTURE_TEST_CASE(domain_cut_off_during_the_crashes_sends_the_request, crash_fixture)
--- a/tests/auto/plugins/quarantine/tst_quarantineservice.cpp
+++ b/tests/auto/plugins/quarantine/tst_quarantineservice.cpp
@@ -1,5 +1,6 @@
 #include "auto/plugins/fakememberdirectory.h"
 #include "fakes/fakecontrolnetwork.h"
+#include "fakes/faultystore.h"
 #include "fakes/virtualtimerservice.h"
 #include "libs/base/log.h"
 #include "plugins/quarantine/quarantineservice.h"
@@ -21,6 +22,8 @@
 struct service_fleet {
     virtual_timer_service timers;
     seeded_random_source random{9};
+    memory_store backing{timers};
+    faulty_store store{backing, timers, random};
     fake_control_network network{timers, random};
     fake_member_directory directory;
     std::vector<std::unique_ptr<quarantine_service>> nodes;
@@ -48,7 +51,7 @@
         const std::string name = name_of(index);
         nodes[index].reset();
         nodes[index] = std::make_unique<quarantine_service>(node_id{name, incarnation}, timers, random, directory,
-                                                            network.link(name));
+                                                            network.link(name), store);
         network.attach(name, control_channel::quarantine, nodes[index].get());
     }
 
@@ -104,6 +107,27 @@
     BOOST_TEST(fleet.count_refusing(crashing) == 6U);
 }
 
+// Guards against a crashing request that is forgotten when all nodes restart, although the store was away when it was
+// found and is away when they start.
+BOOST_AUTO_TEST_CASE(crashing_request_is_kept_in_the_store)
+{
+    service_fleet fleet(6);
+    fleet.store.set_faults({.down = true});
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.crash(i, {crashing});
+    fleet.timers.advance(5s);
+    fleet.store.set_faults({});
+    fleet.timers.advance(2s);
+    fleet.store.set_faults({.down = true});
+    for (std::size_t i = 0; i < 6; ++i)
+        fleet.start(i, 2);
+    fleet.timers.advance(3s);
+    BOOST_TEST(fleet.count_refusing(crashing) == 0U);
+    fleet.store.set_faults({});
+    fleet.timers.advance(2s);
+    BOOST_TEST(fleet.count_refusing(crashing) == 6U);
+}
+
 // Guards against a popular request that is refused because it was running at several crashes at the same moment: an
 // upstream of any node has completed it shortly before, or completes it afterwards.
 BOOST_AUTO_TEST_CASE(completed_request_is_not_refused)
