Use one timer for the repetition of failed operations

The registry had the same code twice, for its lease and its entry, and the archive of the quarantine a third variant. All use retry_timer now, with a test of its own.

--- a/src/plugins/quarantine/quarantinearchive.cpp
+++ b/src/plugins/quarantine/quarantinearchive.cpp
@@ -27,28 +27,21 @@
 
 quarantine_archive::quarantine_archive(timer_service& timers, random_source& random, key_value_store& store,
                                        reports_callback on_read)
-    : m_timers(timers), m_random(random), m_store(store), m_on_read(std::move(on_read))
+    : m_timers(timers), m_random(random), m_store(store), m_on_read(std::move(on_read)),
+      m_read_retry(timers, retry_delay, retry_delay, [this] { read(); }),
+      m_write_retry(timers, retry_delay, retry_delay, [this] { write_pending(); })
 {
 }
 
 quarantine_archive::~quarantine_archive()
 {
-    m_timers.cancel(m_read_timer);
-    m_timers.cancel(m_write_timer);
+    m_timers.cancel(m_first_read_timer);
 }
 
 void quarantine_archive::start()
 {
     const auto delay = m_random.uniform(static_cast<std::uint64_t>(max_first_read_delay.count()));
-    schedule(m_read_timer, duration{static_cast<std::int64_t>(delay)}, &quarantine_archive::read);
-}
-
-void quarantine_archive::schedule(timer_id& timer, duration delay, void (quarantine_archive::*action)())
-{
-    timer = m_timers.schedule(delay, [this, &timer, action] {
-        timer = 0;
-        (this->*action)();
-    });
+    m_first_read_timer = m_timers.schedule(duration{static_cast<std::int64_t>(delay)}, [this] { read(); });
 }
 
 void quarantine_archive::read()
@@ -62,7 +55,7 @@
 void quarantine_archive::on_read(leaf::result<range_result> result)
 {
     if (!result)
-        return schedule(m_read_timer, retry_delay, &quarantine_archive::read);
+        return m_read_retry.schedule();
     std::vector<crash_report> reports;
     for (const store_entry& entry : result->entries) {
         auto message = decode_quarantine_message(entry.value);
@@ -96,7 +89,7 @@
         if (lease)
             return write(m_pending.begin()->first, *lease);
         m_is_writing = false;
-        schedule(m_write_timer, retry_delay, &quarantine_archive::write_pending);
+        m_write_retry.schedule();
     });
 }
 
@@ -108,7 +101,7 @@
                            return;
                        m_is_writing = false;
                        if (!result)
-                           return schedule(m_write_timer, retry_delay, &quarantine_archive::write_pending);
+                           return m_write_retry.schedule();
                        m_pending.erase(fingerprint);
                        write_pending();
                    });
--- a/src/plugins/quarantine/quarantinearchive.h
+++ b/src/plugins/quarantine/quarantinearchive.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libs/base/randomsource.h"
+#include "libs/base/retrytimer.h"
 #include "libs/base/timerservice.h"
 #include "libs/store/keyvaluestore.h"
 #include "plugins/quarantine/crashreport.h"
@@ -34,7 +35,6 @@
     void on_read(leaf::result<range_result> result);
     void write_pending();
     void write(request_fingerprint fingerprint, lease_id lease);
-    void schedule(timer_id& timer, duration delay, void (quarantine_archive::*action)());
 
     timer_service& m_timers;
     random_source& m_random;
@@ -43,8 +43,9 @@
     /// Encoded reports that have not been written yet.
     std::map<request_fingerprint, std::string> m_pending;
     bool m_is_writing = false;
-    timer_id m_read_timer = 0;
-    timer_id m_write_timer = 0;
+    timer_id m_first_read_timer = 0;
+    retry_timer m_read_retry;
+    retry_timer m_write_retry;
     std::shared_ptr<int> m_alive = std::make_shared<int>();
 };
 
--- a/src/plugins/registry/storeregistry.cpp
+++ b/src/plugins/registry/storeregistry.cpp
@@ -40,15 +40,12 @@
                                random_source& secure_random, key_value_store& store)
     : m_settings(std::move(settings)), m_self(std::move(self)), m_timers(timers), m_secure_random(secure_random),
       m_store(store), m_follower(timers, random, store, m_settings.prefix, *this),
-      m_lease_retry_delay(initial_retry_delay), m_publish_retry_delay(initial_retry_delay)
+      m_lease_retry(timers, initial_retry_delay, max_retry_delay, [this] { renew_lease(); }),
+      m_publish_retry(timers, initial_retry_delay, max_retry_delay, [this] { publish(); })
 {
 }
 
-store_registry::~store_registry()
-{
-    m_timers.cancel(m_lease_retry_timer);
-    m_timers.cancel(m_publish_retry_timer);
-}
+store_registry::~store_registry() = default;
 
 void store_registry::start()
 {
@@ -296,7 +293,7 @@
 
 void store_registry::request_lease()
 {
-    if (m_is_requesting_lease || m_lease_retry_timer != 0 || m_has_left)
+    if (m_is_requesting_lease || m_lease_retry.is_pending() || m_has_left)
         return;
     m_is_requesting_lease = true;
     m_store.grant_lease(m_settings.lease, [this, alive = std::weak_ptr<int>(m_alive)](leaf::result<lease_id> result) {
@@ -306,9 +303,9 @@
         if (!result) {
             log_warning(log_part, "The lease was not granted: {}.",
                         to_string(error_of(std::move(result), store_error::unavailable)));
-            return schedule_lease_retry();
+            return m_lease_retry.schedule();
         }
-        m_lease_retry_delay = initial_retry_delay;
+        m_lease_retry.reset();
         m_lease = *result;
         publish();
     });
@@ -318,7 +315,7 @@
 {
     if (m_lease == 0)
         return request_lease();
-    if (m_is_renewing_lease || m_lease_retry_timer != 0)
+    if (m_is_renewing_lease || m_lease_retry.is_pending())
         return;
     m_is_renewing_lease = true;
     m_store.keep_alive(m_lease, [this, alive = std::weak_ptr<int>(m_alive)](leaf::result<void> result) {
@@ -327,7 +324,7 @@
         m_is_renewing_lease = false;
         if (!result)
             return on_renewal_failed(error_of(std::move(result), store_error::unavailable));
-        m_lease_retry_delay = initial_retry_delay;
+        m_lease_retry.reset();
     });
 }
 
@@ -335,22 +332,11 @@
 {
     log_warning(log_part, "The lease was not renewed: {}.", to_string(error));
     if (error != store_error::no_such_lease)
-        return schedule_lease_retry();
+        return m_lease_retry.schedule();
     m_lease = 0;
     request_lease();
 }
 
-void store_registry::schedule_lease_retry()
-{
-    if (m_lease_retry_timer != 0)
-        return;
-    m_lease_retry_timer = m_timers.schedule(m_lease_retry_delay, [this] {
-        m_lease_retry_timer = 0;
-        renew_lease();
-    });
-    m_lease_retry_delay = std::min(m_lease_retry_delay * 2, max_retry_delay);
-}
-
 void store_registry::publish()
 {
     if (m_lease == 0)
@@ -359,7 +345,7 @@
         m_publish_again = true;
         return;
     }
-    if (m_publish_retry_timer != 0)
+    if (m_publish_retry.is_pending())
         return;
     m_is_publishing = true;
     m_store.put_if(own_key(), m_own_revision, encode_registry_entry(m_self), m_lease,
@@ -377,27 +363,16 @@
         leaf::result<void> failure = result.error();
         if (error_of(std::move(failure), store_error::unavailable) == store_error::no_such_lease)
             m_lease = 0;
-        return schedule_publish_retry();
+        return m_publish_retry.schedule();
     }
     if (!result->applied) {
         m_own_revision = result->current ? result->current->mod_revision : 0;
-        return schedule_publish_retry();
+        return m_publish_retry.schedule();
     }
-    m_publish_retry_delay = initial_retry_delay;
+    m_publish_retry.reset();
     m_own_revision = std::max(m_own_revision, result->revision);
     if (again)
         publish();
 }
 
-void store_registry::schedule_publish_retry()
-{
-    if (m_publish_retry_timer != 0)
-        return;
-    m_publish_retry_timer = m_timers.schedule(m_publish_retry_delay, [this] {
-        m_publish_retry_timer = 0;
-        publish();
-    });
-    m_publish_retry_delay = std::min(m_publish_retry_delay * 2, max_retry_delay);
-}
-
 } // namespace mulberry
--- a/src/plugins/registry/storeregistry.h
+++ b/src/plugins/registry/storeregistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libs/base/periodictimer.h"
+#include "libs/base/retrytimer.h"
 #include "libs/store/storefollower.h"
 #include "plugins/membership/memberdirectory.h"
 
@@ -82,10 +83,8 @@
     void renew_lease();
     void on_renewal_failed(store_error error);
     void request_lease();
-    void schedule_lease_retry();
     void publish();
     void on_published(leaf::result<put_result> result);
-    void schedule_publish_retry();
     std::string own_key() const { return m_settings.prefix + "members/" + m_self.id.name; }
 
     registry_settings m_settings;
@@ -110,11 +109,8 @@
     bool m_publish_again = false;
     bool m_is_requesting_lease = false;
     bool m_is_renewing_lease = false;
-    // At most one pending retry each: during an outage of the store every failed call would otherwise add one more.
-    timer_id m_lease_retry_timer = 0;
-    timer_id m_publish_retry_timer = 0;
-    duration m_lease_retry_delay;
-    duration m_publish_retry_delay;
+    retry_timer m_lease_retry;
+    retry_timer m_publish_retry;
     std::unique_ptr<periodic_timer> m_renewal_timer;
     std::unique_ptr<periodic_timer> m_absence_timer;
     std::shared_ptr<int> m_alive = std::make_shared<int>();
--- a/tests/auto/libs/base/tst_base.cpp
+++ b/tests/auto/libs/base/tst_base.cpp
@@ -4,6 +4,7 @@
 #include "libs/base/logratelimiter.h"
 #include "libs/base/periodictimer.h"
 #include "libs/base/refusal.h"
+#include "libs/base/retrytimer.h"
 #include "libs/store/keyvaluestore.h"
 
 #include <set>
@@ -76,4 +77,28 @@
     BOOST_TEST((calls[2].time_since_epoch() == std::chrono::seconds(3)));
 }
 
+// Guards against repetitions that add up while an operation fails, and against a delay that stays long after a success.
+BOOST_AUTO_TEST_CASE(retry_timer_has_one_pending_repetition)
+{
+    virtual_timer_service timers;
+    int calls = 0;
+    retry_timer retry(timers, std::chrono::milliseconds(100), std::chrono::milliseconds(300), [&calls] { ++calls; });
+    const auto calls_after = [&](std::chrono::milliseconds time) {
+        retry.schedule();
+        retry.schedule();
+        timers.advance(time - std::chrono::milliseconds(1));
+        const int before = calls;
+        timers.advance(std::chrono::milliseconds(1));
+        return calls - before;
+    };
+    BOOST_TEST(calls_after(std::chrono::milliseconds(100)) == 1);
+    BOOST_TEST(calls_after(std::chrono::milliseconds(200)) == 1);
+    BOOST_TEST(calls_after(std::chrono::milliseconds(300)) == 1);
+    BOOST_TEST(calls_after(std::chrono::milliseconds(300)) == 1);
+    retry.reset();
+    BOOST_TEST(calls_after(std::chrono::milliseconds(100)) == 1);
+    timers.advance(std::chrono::seconds(10));
+    BOOST_TEST(calls == 5);
+}
+
 } // namespace mulberry
