Track only the rate that an upstream names

upstream_notice_tracker kept a whole notice and set nothing but its rate. It is upstream_rate_tracker now, and guard_service returns the rate.

--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -145,7 +145,7 @@
                             static_cast<double>(m_node.quarantine().quarantined()));
         m_metrics.set_gauge("mulberry_upstream_rate_limit",
                             "Requests per second that this node's upstream accepts; -1 if it names no limit.",
-                            guard.notice().rate_limit.value_or(-1));
+                            guard.upstream_rate_limit().value_or(-1));
     }
 
     const sidecar_node& m_node;
--- a/src/plugins/guard/guardservice.cpp
+++ b/src/plugins/guard/guardservice.cpp
@@ -103,7 +103,7 @@
                           status.instance_started_ms == m_upstream_state.instance_started_ms;
     if (!same_run) {
         check_crash();
-        m_notices.reset();
+        m_rate.reset();
         m_admission.set_rate_limit(std::nullopt);
     }
     m_upstream_state = std::move(status);
@@ -303,13 +303,13 @@
         return;
     if (notice->leaving)
         report_leaving(leaving_source::upstream);
-    if (m_notices.on_response(entry.admitted_at, m_timers.now(), *notice))
+    if (m_rate.on_response(entry.admitted_at, m_timers.now(), notice->rate_limit))
         apply_rate_limit();
 }
 
 void guard_service::apply_sender_notice(const upstream_notice& notice)
 {
-    if (m_notices.on_sender_notice(m_timers.now(), notice))
+    if (m_rate.on_sender_limit(m_timers.now(), notice.rate_limit))
         apply_rate_limit();
     const bool same_run = notice.instance == m_upstream_state.instance &&
                           notice.instance_started_ms == m_upstream_state.instance_started_ms;
@@ -327,7 +327,7 @@
 upstream_notice guard_service::own_notice() const
 {
     upstream_notice notice;
-    notice.rate_limit = m_notices.current().rate_limit;
+    notice.rate_limit = m_rate.current();
     if (!m_upstream_state.leaving_since)
         return notice;
     notice.leaving = true;
@@ -338,7 +338,7 @@
 
 void guard_service::apply_rate_limit()
 {
-    const auto& limit = m_notices.current().rate_limit;
+    const auto limit = m_rate.current();
     m_admission.set_rate_limit(limit);
     if (!limit)
         return log_info(log_part, "Upstream {} no longer limits its rate of requests.", m_upstream_state.instance);
--- a/src/plugins/guard/guardservice.h
+++ b/src/plugins/guard/guardservice.h
@@ -9,7 +9,7 @@
 #include "plugins/calls/requestobserver.h"
 #include "plugins/guard/attemptfilter.h"
 #include "plugins/guard/crashdetector.h"
-#include "plugins/guard/upstreamnoticetracker.h"
+#include "plugins/guard/upstreamratetracker.h"
 #include "plugins/idempotency/idempotencytable.h"
 #include "plugins/quarantine/requestquarantine.h"
 
@@ -107,8 +107,8 @@
     std::size_t in_progress() const { return m_calls.size(); }
     /// Share of retries among the running calls, in [0, 1]; 0 if no call is running.
     double repeat_share() const;
-    /// What the upstream states about itself in its responses.
-    const upstream_notice& notice() const { return m_notices.current(); }
+    /// Requests per second that the upstream accepts, as it names them in its responses; empty if it names no limit.
+    std::optional<double> upstream_rate_limit() const { return m_rate.current(); }
     /// Number of crashes of the upstream that this node has recognised.
     std::uint64_t upstream_crashes() const { return m_upstream_crashes; }
     const admission_queue& admission() const { return m_admission; }
@@ -171,7 +171,7 @@
     std::optional<time_point> m_leaving_since;
     std::optional<time_point> m_stops_at;
     upstream_status m_upstream_state;
-    detail::upstream_notice_tracker m_notices;
+    detail::upstream_rate_tracker m_rate;
     detail::crash_detector m_crashes;
     std::uint64_t m_upstream_crashes = 0;
 };
