Test that a request refused just before it ran frees its idempotency key

The refusal just before the upstream did not free the record of the key, so that a later attempt with it was told that the first still runs.

--- a/tests/auto/plugins/guard/tst_guardcrashes.cpp
+++ b/tests/auto/plugins/guard/tst_guardcrashes.cpp
@@ -3,6 +3,7 @@
 #include "fakes/ignoringobserver.h"
 #include "fakes/virtualtimerservice.h"
 #include "plugins/guard/guardservice.h"
+#include "plugins/idempotency/idempotencykey.h"
 
 #include <algorithm>
 #include <string>
@@ -50,7 +51,7 @@
         guard.set_upstream({true, instance, "orders", 4, leaving_since, 1});
     }
 
-    void send(request_fingerprint fingerprint)
+    void send(request_fingerprint fingerprint, const std::string& idempotency_key = {})
     {
         call_request call;
         call.attempt = {{"entry-1", 1}, ++last_sequence};
@@ -58,7 +59,8 @@
         call.remaining = 2s;
         call.method = "GET";
         call.path = "/list";
-        call.idempotent = true;
+        call.idempotent = idempotency_key.empty();
+        call.idempotency_key = idempotency_key;
         call.fingerprint = fingerprint;
         guard.handle("entry-1", call, [this](call_response response) { responses.push_back(std::move(response)); });
     }
@@ -147,6 +149,24 @@
     BOOST_TEST(count(refusal_reason::request_quarantined) == 1U);
 }
 
+// Guards against an idempotency key that counts as running for ever after its request was refused just before it ran.
+BOOST_FIXTURE_TEST_CASE(refused_request_can_run_later_with_its_idempotency_key, crash_fixture)
+{
+    const std::string key = to_string(make_idempotency_key({"orders-1", 4}, guard.idempotency_epoch(), random));
+    upstream.set_faults({.service_time = 2ms});
+    for (request_fingerprint fingerprint = 1; fingerprint <= 4; ++fingerprint)
+        send(fingerprint);
+    send(5, key);
+    quarantine.refused.insert(5);
+    timers.advance(1s);
+    BOOST_TEST(count(refusal_reason::request_quarantined) == 1U);
+    quarantine.refused.clear();
+    send(5, key);
+    timers.advance(1s);
+    BOOST_TEST(count(refusal_reason::idempotency_running) == 0U);
+    BOOST_TEST(quarantine.completed.back() == 5U);
+}
+
 // Guards against two suspects that run at the same time, so that a crash cannot be attributed, and against holding up
 // other requests.
 BOOST_FIXTURE_TEST_CASE(suspects_run_one_at_a_time, crash_fixture)
