Split a comparison of crash reports into messages of limited size

Cause: a node sent all that it knows of up to 128 requests, with up to eight crashes each, in one message, and its receiver rejects more than 512 fingerprints. A node that had been cut off or restarted then learned nothing of any crashing request.

Change: the answer is split as gossip is; the last message has the digest.

Evidence: many_suspects_are_compared_within_the_message_limit, 100 requests with eight crashes: 0 of 100 learned before, all now.

--- a/src/plugins/quarantine/quarantineservice.cpp
+++ b/src/plugins/quarantine/quarantineservice.cpp
@@ -159,13 +159,16 @@
     merge(message->reports);
     if (message->kind == quarantine_message_kind::gossip || message->digest == m_suspects.digest())
         return;
-    quarantine_message response;
+    auto messages = split_into_messages(m_suspects.reports_of_repeated(max_sync_requests, m_timers.now()));
     if (message->kind == quarantine_message_kind::sync_request) {
-        response.kind = quarantine_message_kind::sync_response;
-        response.digest = m_suspects.digest();
+        // The sender compares the digests once it has all reports, so only the last message has one.
+        if (messages.empty())
+            messages.emplace_back();
+        messages.back().kind = quarantine_message_kind::sync_response;
+        messages.back().digest = m_suspects.digest();
     }
-    response.reports = m_suspects.reports_of_repeated(max_sync_requests, m_timers.now());
-    send(from, response);
+    for (const quarantine_message& each : messages)
+        send(from, each);
 }
 
 void quarantine_service::merge(std::span<const crash_report> reports)
--- a/tests/auto/plugins/quarantine/tst_quarantineservice.cpp
+++ b/tests/auto/plugins/quarantine/tst_quarantineservice.cpp
@@ -128,6 +128,22 @@
     BOOST_TEST(fleet.count_refusing(crashing) == 6U);
 }
 
+// Guards against a comparison that is rejected because many requests with many crashes don't fit into one message.
+BOOST_AUTO_TEST_CASE(many_suspects_are_compared_within_the_message_limit)
+{
+    service_fleet fleet(2);
+    fleet.network.set_group(fleet.name_of(1), 1);
+    std::vector<request_fingerprint> running;
+    for (request_fingerprint fingerprint = 1; fingerprint <= 100; ++fingerprint)
+        running.push_back(fingerprint);
+    for (int crash = 0; crash < 8; ++crash)
+        fleet.crash(0, running);
+    fleet.timers.advance(1s);
+    fleet.network.set_group(fleet.name_of(1), 0);
+    fleet.timers.advance(5s);
+    BOOST_TEST(fleet.nodes[1]->suspects() == 100U);
+}
+
 // Guards against a popular request that is refused because it was running at several crashes at the same moment: an
 // upstream of any node has completed it shortly before, or completes it afterwards.
 BOOST_AUTO_TEST_CASE(completed_request_is_not_refused)
