Read the error of the peer identity without a temporary result

GCC 12 on arm64 reported members of the temporary leaf::result that error_of(std::move(identity), ...) made in daemon::load_identity() as perhaps uninitialized, which is an error in the tests' build. The error is now read from the result itself, as operatorjson.cpp does; the reported text and the returned error are the same. The alternative, to pass -Wno-error=maybe-uninitialized in this build too, was ruled out: clang-tidy does not know the flag.

On a clean checkout on arm64 (Debian 12, GCC 12): ./run-tests ends with 59 of 59 tests passed (before: the build stopped); scripts/checkformat clean; scripts/checklinks clean; the deploy file's build succeeds; scripts/checklint clean for the changed file. Not built on x86-64 here: the machine is arm64.

--- a/src/app/mulberryd/daemon.cpp
+++ b/src/app/mulberryd/daemon.cpp
@@ -120,7 +120,7 @@
         {m_settings.peer_ca_file, m_settings.peer_certificate_file, m_settings.peer_private_key_file});
     if (!identity) {
         log_error("daemon", "Cannot load the certificate files of the peer port: {}.",
-                  to_string(error_of(std::move(identity), tls_error::bad_certificate)));
+                  to_string(error_of<tls_error, void>(std::move(identity).error(), tls_error::bad_certificate)));
         return leaf::new_error(daemon_error::bad_tls_files);
     }
     if (identity->node_name() != m_settings.node_name) {
