--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -36,9 +36,13 @@
                 {"service", "orders"},
                 {"max_attempts", 2},
                 {"public", false}}}}},
-            {"services", {{"orders", {{"health_path", "/healthz"}, {"max_connections", 940}, {"protocol", "h1"}, {"tls", false}}}}},
+            {"services",
+             {{"orders", {{"health_path", "/healthz"}, {"max_connections", 940}, {"protocol", "h1"}, {"tls", false}}}}},
             {"limits",
-             {{"max_header_bytes", 16384}, {"max_body_bytes", 67108864}, {"header_timeout", "3000ms"}, {"idle_timeout", "15000ms"}}},
+             {{"max_header_bytes", 16384},
+              {"max_body_bytes", 67108864},
+              {"header_timeout", "3000ms"},
+              {"idle_timeout", "15000ms"}}},
             {"tenants", {{"shops", {{"api_keys", {key}}, {"priority", 1}}}}}};
 }
 
@@ -103,11 +107,10 @@
     std::vector<std::unique_ptr<target>> targets;
     for (int i = 0; i < 2; ++i) {
         const std::string number = std::to_string(i + 1);
-        fleet.push_back(std::make_unique<sidecar>(
-            make_machine("sidecar-" + number, "zone-" + number, "region-" + number, "orders", "127.0.0.1" + number,
-                         store_address),
-            chosen.program,
-            folder.path()));
+        fleet.push_back(
+            std::make_unique<sidecar>(make_machine("sidecar-" + number, "zone-" + number, "region-" + number, "orders",
+                                                   "127.0.0.1" + number, store_address),
+                                      chosen.program, folder.path()));
         fleet.back()->start();
         target_settings settings;
         settings.instance = "i-" + number;
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,9 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 set -u
 cd "$(dirname "$0")"
-exec ../../target/review/case1 "$PWD" ../../target/platform/mulberrysidecar
+program=../../target/review/case1
+if [ ! -x "$program" ]; then
+    echo "cannot run: $program is not built" >&2
+    exit 2
+fi
+exec "$program" "$PWD" ../../target/platform/mulberrysidecar
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// Stand-ins for the scripts of the review: the platform's store, targets with heartbeats, clients and the control of the
-// project's processes. They follow the users' pages; where those are silent they behave like a sound server, client or
-// platform. Only loopback addresses are used.
+// Stand-ins for the scripts of the review: the platform's store, targets with heartbeats, clients and the control of
+// the project's processes. They follow the users' pages; where those are silent they behave like a sound server, client
+// or platform. Only loopback addresses are used.
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -681,12 +682,12 @@
     {
         m_deregistered = true;
         const std::string text = json{{"born", m_born}}.dump();
-        const reply got = exchange(m_settings.control,
-                                   "DELETE /-/instances/" + m_settings.instance + " HTTP/1.1\r\nHost: " +
-                                       m_settings.control.text() +
-                                       "\r\nContent-Type: application/json\r\nContent-Length: " +
-                                       std::to_string(text.size()) + "\r\nConnection: close\r\n\r\n" + text,
-                                   1.0);
+        const reply got =
+            exchange(m_settings.control,
+                     "DELETE /-/instances/" + m_settings.instance + " HTTP/1.1\r\nHost: " + m_settings.control.text() +
+                         "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) +
+                         "\r\nConnection: close\r\n\r\n" + text,
+                     1.0);
         record.line("DELETE   target=%s acknowledged with %d", m_settings.instance.c_str(), got.status);
         return got.at;
     }
@@ -741,10 +742,12 @@
         const std::string id = request.field("x-mulberrygrade-request-id");
         const std::string echo = "X-Mulberrygrade-Request-Id: " + id + "\r\n";
         if (request.word(1) == "/healthz")
-            return write_all(fd, response_text(200, "X-Mulberrygrade-Instance-Id: " + m_settings.instance + "\r\n", ""));
+            return write_all(fd,
+                             response_text(200, "X-Mulberrygrade-Instance-Id: " + m_settings.instance + "\r\n", ""));
         const std::string expected = request.field("x-mulberrygrade-expected-instance");
         if (!expected.empty() && expected != m_settings.instance) {
-            record.line("421      id=%s target=%s expected=%s", id.c_str(), m_settings.instance.c_str(), expected.c_str());
+            record.line("421      id=%s target=%s expected=%s", id.c_str(), m_settings.instance.c_str(),
+                        expected.c_str());
             return write_all(
                 fd, response_text(421, echo + "X-Mulberrygrade-Instance-Id: " + m_settings.instance + "\r\n", ""));
         }
@@ -760,8 +763,9 @@
             sleep_s(0.01);
         if (m_stopping)
             return false;
-        return write_all(fd, response_text(200, echo + "X-Mulberrygrade-Server-Signature: " + m_settings.instance + "\r\n",
-                                           "done " + id));
+        return write_all(fd,
+                         response_text(200, echo + "X-Mulberrygrade-Server-Signature: " + m_settings.instance + "\r\n",
+                                       "done " + id));
     }
 
     void send_heartbeats()
@@ -843,12 +847,12 @@
         : m_machine(std::move(where)), m_program(std::move(program)), m_folder(std::move(folder))
     {
         std::ofstream settings(settings_path());
-        settings << "node_name = \"" << m_machine.name << "\"\nfailure_domain = \"" << m_machine.zone << "\"\nregion = \""
-                 << m_machine.region << "\"\nservice = \"" << m_machine.service << "\"\nupstream = \""
-                 << m_machine.app.text() << "\"\ncallers_listen = \"" << m_machine.outbound.text()
-                 << "\"\npeers_listen = \"" << m_machine.inbound.text() << "\"\nreadiness_listen = \""
-                 << m_machine.readiness.text() << "\"\nannouncements_listen = \"" << m_machine.control.text()
-                 << "\"\nstore = \"" << m_machine.store.text()
+        settings << "node_name = \"" << m_machine.name << "\"\nfailure_domain = \"" << m_machine.zone
+                 << "\"\nregion = \"" << m_machine.region << "\"\nservice = \"" << m_machine.service
+                 << "\"\nupstream = \"" << m_machine.app.text() << "\"\ncallers_listen = \""
+                 << m_machine.outbound.text() << "\"\npeers_listen = \"" << m_machine.inbound.text()
+                 << "\"\nreadiness_listen = \"" << m_machine.readiness.text() << "\"\nannouncements_listen = \""
+                 << m_machine.control.text() << "\"\nstore = \"" << m_machine.store.text()
                  << "\"\nshortest_lease = \"1000ms\"\nmemory_limit_mb = 260\ndescriptor_limit = 4100\n"
                     "withdrawal_limit = \"5000ms\"\ndrain_limit = \"2500ms\"\nstop_limit = \"6s\"\nretry_ratio = 0.2\n"
                     "retry_slack = 48\nretry_window = \"10s\"\n";
@@ -860,6 +864,7 @@
         m_pid = fork();
         if (m_pid != 0)
             return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // the daemon ends with the script
         const int log = open((m_folder + "/" + m_machine.name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, 1);
         dup2(log, 2);
@@ -904,7 +909,8 @@
 
     bool is_ready() const
     {
-        return exchange(m_machine.readiness, "GET /-/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n", 1).status == 200;
+        return exchange(m_machine.readiness, "GET /-/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n", 1)
+                   .status == 200;
     }
     const machine& where() const { return m_machine; }
 
@@ -961,8 +967,8 @@
         sent.status = got.status;
         sent.answered_at = got.at;
         sent.has_signature = !got.content.field("x-mulberrygrade-server-signature").empty();
-        record.line("answered id=%s status=%d signature=%d reason=%s", request.id.c_str(), sent.status, sent.has_signature,
-                    sent.has_signature ? "-" : got.content.body.substr(0, 200).c_str());
+        record.line("answered id=%s status=%d signature=%d reason=%s", request.id.c_str(), sent.status,
+                    sent.has_signature, sent.has_signature ? "-" : got.content.body.substr(0, 200).c_str());
         const std::lock_guard lock(m_mutex);
         m_sent.push_back(sent);
         return sent;
@@ -998,7 +1004,8 @@
         if (count > 1)
             record.line("BROKEN TWICE id=%s ran %d times, answered %d", sent.request.id.c_str(), count, sent.status);
         if (refused && count > 0)
-            record.line("BROKEN REFUSED id=%s answered %d and ran %d times", sent.request.id.c_str(), sent.status, count);
+            record.line("BROKEN REFUSED id=%s answered %d and ran %d times", sent.request.id.c_str(), sent.status,
+                        count);
         broken += count > 1 || (refused && count > 0) ? 1 : 0;
     }
     return broken;
