Drop queued timer callbacks of an earlier phase of a connection

Cause: a connection restarts one steady_timer for each phase. A handler that has already been queued is not taken back by the restart. After a suspension the connection is established and the connect timeout has expired; the first handler sends the request, the second one reports the same request as not sent. The reason was bound to the timer, not to what was written.

Ruled out: the timer service. It removes cancelled callbacks from its own queue, so its callbacks cannot be outdated.

Change: single_shot_timer compares the number of its start before it calls back. All users of steady_timer except the timer service use it: HTTP/1.1 client and server, node connections, listener, libcurl sockets, the server on ulfius. A request is reported as not sent only while nothing of it has been written. A closed idle period no longer acts on a later one.

Evidence: on the code before, an_expired_connect_timeout_does_not_end_a_sent_request failed in 20 of 20 requests (not_sent), an_expired_stall_timeout_does_not_end_a_response_that_arrived (timed_out) and an_expired_timer_of_an_earlier_phase_does_not_close_the_connection (no request seen) failed as well; all pass now.

--- a/src/libs/eventloop/tcplistener.cpp
+++ b/src/libs/eventloop/tcplistener.cpp
@@ -1,12 +1,11 @@
 #include "libs/eventloop/tcplistener.h"
 
 #include "libs/eventloop/eventloop.h"
+#include "libs/eventloop/singleshottimer.h"
 
 #include <chrono>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace mulberry {
 
 namespace {
@@ -22,7 +21,7 @@
 class tcp_listener::implementation final : public std::enable_shared_from_this<implementation> {
 public:
     implementation(event_loop& loop, socket_handler handler)
-        : m_handler(std::move(handler)), m_acceptor(loop.context()), m_timer(loop.context())
+        : m_handler(std::move(handler)), m_acceptor(loop.context()), m_timer(loop.context().get_executor())
     {
     }
 
@@ -75,17 +74,16 @@
 
     void accept_after_delay()
     {
-        m_timer.expires_after(accept_retry_delay);
-        m_timer.async_wait([weak = weak_from_this()](const error_code& error) {
+        m_timer.start(accept_retry_delay, [weak = weak_from_this()] {
             const auto self = weak.lock();
-            if (!error && self && self->m_acceptor.is_open())
+            if (self && self->m_acceptor.is_open())
                 self->accept();
         });
     }
 
     socket_handler m_handler;
     tcp::acceptor m_acceptor;
-    boost::asio::steady_timer m_timer;
+    single_shot_timer m_timer;
 };
 
 tcp_listener::tcp_listener(event_loop& loop, socket_handler handler)
--- a/src/libs/http/curlsockets.cpp
+++ b/src/libs/http/curlsockets.cpp
@@ -8,7 +8,7 @@
 namespace mulberry::detail {
 
 curl_sockets::curl_sockets(event_loop& loop, CURLM* multi, std::function<void()> on_progress)
-    : m_loop(loop), m_multi(multi), m_on_progress(std::move(on_progress)), m_timer(loop.context())
+    : m_loop(loop), m_multi(multi), m_on_progress(std::move(on_progress)), m_timer(loop.context().get_executor())
 {
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &curl_sockets::on_socket);
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
@@ -43,12 +43,8 @@
         sockets->m_timer.cancel();
         return 0;
     }
-    sockets->m_timer.expires_after(std::chrono::milliseconds(timeout_ms));
-    sockets->m_timer.async_wait(
-        [sockets, alive = std::weak_ptr<bool>(sockets->m_alive)](const boost::system::error_code& error) {
-            if (!error && !alive.expired())
-                sockets->run_socket_action(CURL_SOCKET_TIMEOUT, 0);
-        });
+    sockets->m_timer.start(std::chrono::milliseconds(timeout_ms),
+                           [sockets] { sockets->run_socket_action(CURL_SOCKET_TIMEOUT, 0); });
     return 0;
 }
 
--- a/src/libs/http/curlsockets.h
+++ b/src/libs/http/curlsockets.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "libs/eventloop/singleshottimer.h"
+
 #include <functional>
 #include <memory>
 #include <unordered_map>
 
 #include <boost/asio/posix/stream_descriptor.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <curl/curl.h>
 
 namespace mulberry {
@@ -49,7 +50,7 @@
     event_loop& m_loop;
     CURLM* m_multi;
     std::function<void()> m_on_progress;
-    boost::asio::steady_timer m_timer;
+    single_shot_timer m_timer;
     std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> m_sockets;
     // Expires with this object, so that callbacks still queued in the event loop do not use it afterwards.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -3,6 +3,7 @@
 #include "libs/base/asyncerror.h"
 #include "libs/base/log.h"
 #include "libs/eventloop/eventloop.h"
+#include "libs/eventloop/singleshottimer.h"
 #include "libs/http/pendingresponse.h"
 
 #include <algorithm>
@@ -14,7 +15,6 @@
 #include <thread>
 
 #include <arpa/inet.h>
-#include <boost/asio/steady_timer.hpp>
 #include <linux/filter.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -155,7 +155,8 @@
 class http_server::implementation final : public std::enable_shared_from_this<implementation> {
 public:
     implementation(event_loop& loop, http_handler& handler, http_server_settings settings)
-        : m_loop(loop), m_handler(handler), m_settings(std::move(settings)), m_handshake_timer(loop.context())
+        : m_loop(loop), m_handler(handler), m_settings(std::move(settings)),
+          m_handshake_timer(loop.context().get_executor())
     {
     }
 
@@ -207,7 +208,7 @@
     bool m_handler_detached = false;
     // The listening socket while the server waits for its last handshakes; not_a_socket otherwise.
     int m_listener = not_a_socket;
-    boost::asio::steady_timer m_handshake_timer;
+    single_shot_timer m_handshake_timer;
     std::atomic<bool> m_draining = false;
     std::thread m_stop_thread;
 
@@ -386,10 +387,9 @@
     }
     refuse_new_handshakes(m_listener);
     accept_backlog();
-    m_handshake_timer.expires_after(handshake_grace_period);
-    m_handshake_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+    m_handshake_timer.start(handshake_grace_period, [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (error || !self)
+        if (!self)
             return;
         self->accept_backlog();
         self->close_listener();
--- a/src/libs/http1/http1clientconnection.cpp
+++ b/src/libs/http1/http1clientconnection.cpp
@@ -53,7 +53,7 @@
                                                  const http1_client_settings& settings,
                                                  std::weak_ptr<http1_client_connection_owner> owner, std::string server)
     : m_socket(context), m_timers(timers), m_settings(settings), m_owner(std::move(owner)), m_server(std::move(server)),
-      m_timer(context), m_buffer(max_buffered_bytes), m_idle_limit(settings.idle_timeout)
+      m_timer(context.get_executor()), m_buffer(max_buffered_bytes), m_idle_limit(settings.idle_timeout)
 {
 }
 
@@ -69,13 +69,11 @@
     connect();
 }
 
-void http1_client_connection::start_timer(duration limit, http_error reason)
+void http1_client_connection::start_timer(duration limit)
 {
-    m_timer.expires_after(std::max(limit, duration{0}));
-    m_timer.async_wait([weak = weak_from_this(), reason, id = m_id](const error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self && self->m_id == id)
-            self->fail(reason);
+    m_timer.start(limit, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->fail(http_error::timed_out);
     });
 }
 
@@ -83,15 +81,16 @@
 {
     const auto endpoint = endpoint_of(m_server);
     if (!endpoint) {
-        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(http_error::not_sent); });
+        boost::asio::post(m_socket.get_executor(),
+                          [self = shared_from_this()] { self->fail(http_error::connection_lost); });
         return;
     }
-    start_timer(std::min(m_settings.connect_timeout, m_request.timeout), http_error::not_sent);
+    start_timer(std::min(m_settings.connect_timeout, m_request.timeout));
     m_socket.async_connect(*endpoint, [self = shared_from_this()](const error_code& error) {
         if (self->m_closed)
             return;
         if (error)
-            return self->fail(http_error::not_sent);
+            return self->fail(http_error::connection_lost);
         self->m_connected = true;
         error_code ignored;
         self->m_socket.set_option(tcp::no_delay(true), ignored);
@@ -116,7 +115,7 @@
         m_wire_request->content_length(m_wire_request->body().size());
     m_request_sent = true;
     m_write_in_progress = true;
-    start_timer(m_request.timeout, http_error::timed_out);
+    start_timer(m_request.timeout);
     http::async_write(m_socket, *m_wire_request,
                       [self = shared_from_this(), id = m_id](const error_code&, std::size_t) {
                           // A failed write is reported by the read, which may still receive a response that the server
@@ -153,7 +152,7 @@
     if (error || m_parser->is_done())
         return on_message(error);
     if (m_request.stall_timeout > duration{0})
-        start_timer(m_request.stall_timeout, http_error::timed_out);
+        start_timer(m_request.stall_timeout);
     if (m_request.on_progress)
         m_request.on_progress();
     read_more();
@@ -271,19 +270,21 @@
 void http1_client_connection::watch_while_idle()
 {
     m_idle_since = m_timers.now();
-    m_timer.expires_after(m_idle_limit);
     // Called by the timer or by the socket, whichever is first: the idle limit has passed, the server sent bytes that
     // belong to no request, or the connection has ended.
-    const auto end = [weak = weak_from_this()](const error_code& error) {
+    const auto end = [weak = weak_from_this(), idle_period = ++m_idle_period] {
         const auto self = weak.lock();
-        if (error || !self || self->m_id != 0 || self->m_closed)
+        if (!self || self->m_id != 0 || self->m_closed || self->m_idle_period != idle_period)
             return;
         self->close();
         if (const auto owner = self->m_owner.lock())
             owner->on_idle_connection_closed(*self);
     };
-    m_timer.async_wait(end);
-    m_socket.async_wait(tcp::socket::wait_read, end);
+    m_timer.start(m_idle_limit, end);
+    m_socket.async_wait(tcp::socket::wait_read, [end](const error_code& error) {
+        if (!error)
+            end();
+    });
 }
 
 void http1_client_connection::close()
--- a/src/libs/http1/http1clientconnection.h
+++ b/src/libs/http1/http1clientconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libs/base/timerservice.h"
+#include "libs/eventloop/singleshottimer.h"
 #include "libs/http/httpclient.h"
 #include "libs/http1/http1client.h"
 
@@ -9,7 +10,6 @@
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -70,7 +70,8 @@
     bool reserve_received_bytes();
     void release_reserved_bytes();
     void on_response(bool ends_with_connection);
-    void start_timer(duration limit, http_error reason);
+    void start_timer(duration limit);
+    /// Ends the request with this error, or with not_sent as long as nothing of it has been written.
     void fail(http_error error);
     void finish(leaf::result<http_response> result, bool reusable);
     bool is_response_to_other_request() const;
@@ -81,7 +82,7 @@
     http1_client_settings m_settings;
     std::weak_ptr<http1_client_connection_owner> m_owner;
     std::string m_server;
-    boost::asio::steady_timer m_timer;
+    single_shot_timer m_timer;
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     http_request m_request;
@@ -89,6 +90,8 @@
     http_call_id m_id = 0;
     time_point m_idle_since;
     duration m_idle_limit;
+    /// Number of times that the connection became idle.
+    std::uint64_t m_idle_period = 0;
     int m_skipped_responses = 0;
     int m_interim_responses = 0;
     std::size_t m_reserved_bytes = 0;
--- a/src/libs/http1/http1serverconnection.cpp
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -71,10 +71,8 @@
 
 void http1_server_connection::start_timer(duration limit)
 {
-    m_timer.expires_after(limit);
-    m_timer.async_wait([weak = weak_from_this()](const error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self)
+    m_timer.start(limit, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
             self->close();
     });
 }
--- a/src/libs/http1/http1serverconnection.h
+++ b/src/libs/http1/http1serverconnection.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "libs/eventloop/singleshottimer.h"
 #include "libs/http1/http1server.h"
 
 #include <memory>
 #include <optional>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -69,7 +69,7 @@
 
     boost::asio::ip::tcp::socket m_socket;
     std::weak_ptr<http1_connection_owner> m_owner;
-    boost::asio::steady_timer m_timer;
+    single_shot_timer m_timer;
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     std::shared_ptr<wire_response> m_response;
--- a/src/libs/peer/clientconnection.cpp
+++ b/src/libs/peer/clientconnection.cpp
@@ -34,16 +34,15 @@
                                      std::string address)
     : http2_connection(std::move(security), tcp::socket(context), role::client, settings, std::move(counters)),
       m_owner(std::move(owner)), m_node_name(std::move(node_name)), m_address(std::move(address)), m_resolver(context),
-      m_connect_timer(context), m_idle_timer(context)
+      m_connect_timer(context.get_executor()), m_idle_timer(context.get_executor())
 {
 }
 
 void client_connection::connect()
 {
     const auto self_reference = shared_from_this();
-    m_connect_timer.expires_after(settings().connect_timeout);
-    m_connect_timer.async_wait([this, self_reference](const error_code& error) {
-        if (!error && !m_settings_received)
+    m_connect_timer.start(settings().connect_timeout, [this, self_reference] {
+        if (!m_settings_received)
             close();
     });
     const std::size_t colon = m_address.rfind(':');
@@ -167,9 +166,8 @@
         }
         return;
     }
-    m_idle_timer.expires_after(settings().idle_timeout);
-    m_idle_timer.async_wait([this, self_reference = shared_from_this()](const error_code& error) {
-        if (!error && !is_closed() && m_streams.empty() && m_waiting_calls.empty())
+    m_idle_timer.start(settings().idle_timeout, [this, self_reference = shared_from_this()] {
+        if (!is_closed() && m_streams.empty() && m_waiting_calls.empty())
             retire();
     });
 }
--- a/src/libs/peer/clientconnection.h
+++ b/src/libs/peer/clientconnection.h
@@ -83,8 +83,8 @@
     std::string m_node_name;
     std::string m_address;
     boost::asio::ip::tcp::resolver m_resolver;
-    boost::asio::steady_timer m_connect_timer;
-    boost::asio::steady_timer m_idle_timer;
+    single_shot_timer m_connect_timer;
+    single_shot_timer m_idle_timer;
     std::deque<std::unique_ptr<call_state>> m_waiting_calls;
     stream_map m_streams;
     bool m_settings_received = false;
--- a/src/libs/peer/http2connection.cpp
+++ b/src/libs/peer/http2connection.cpp
@@ -312,11 +312,7 @@
     m_send_direction_closed = true;
     error_code ignored;
     m_stream->socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    m_linger_timer.expires_after(linger_limit);
-    m_linger_timer.async_wait([this, self_reference = shared_from_this()](const error_code& error) {
-        if (!error)
-            close();
-    });
+    m_linger_timer.start(linger_limit, [this, self_reference = shared_from_this()] { close(); });
 }
 
 void http2_connection::close()
@@ -334,9 +330,8 @@
 void http2_connection::schedule_probe()
 {
     m_received_since_probe = false;
-    m_probe_timer.expires_after(m_settings.ping_after);
-    m_probe_timer.async_wait([this, self_reference = shared_from_this()](const error_code& error) {
-        if (error || m_closed)
+    m_probe_timer.start(m_settings.ping_after, [this, self_reference = shared_from_this()] {
+        if (m_closed)
             return;
         const bool is_silent = !m_received_since_probe && (m_goaway_pending || has_open_streams());
         if (is_silent && m_ping_outstanding) {
--- a/src/libs/peer/http2connection.h
+++ b/src/libs/peer/http2connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libs/eventloop/singleshottimer.h"
 #include "libs/peer/peersettings.h"
 #include "libs/peer/peerstream.h"
 
@@ -10,7 +11,6 @@
 #include <string_view>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
 #include <nghttp2/nghttp2.h>
 
 namespace mulberry::detail {
@@ -107,8 +107,8 @@
     peer_settings m_settings;
     std::shared_ptr<peer_counters> m_counters;
     std::unique_ptr<nghttp2_session, session_deleter> m_session;
-    boost::asio::steady_timer m_probe_timer;
-    boost::asio::steady_timer m_linger_timer;
+    single_shot_timer m_probe_timer;
+    single_shot_timer m_linger_timer;
     std::array<std::uint8_t, std::size_t{16} * 1024> m_read_buffer{};
     std::vector<std::uint8_t> m_write_buffer;
     bool m_inside_nghttp2 = false;
--- a/src/libs/peer/serverconnection.cpp
+++ b/src/libs/peer/serverconnection.cpp
@@ -84,9 +84,8 @@
     const auto self_reference = shared_from_this();
     error_code ignored;
     stream().socket().set_option(tcp::no_delay(true), ignored);
-    m_handshake_timer.expires_after(settings().connect_timeout);
-    m_handshake_timer.async_wait([this, self_reference](const error_code& error) {
-        if (!error && !is_session_started())
+    m_handshake_timer.start(settings().connect_timeout, [this, self_reference] {
+        if (!is_session_started())
             close();
     });
     stream().handshake([this, self_reference](const error_code& error) {
--- a/src/libs/peer/serverconnection.h
+++ b/src/libs/peer/serverconnection.h
@@ -106,7 +106,7 @@
     bool has_open_streams() const override { return !m_streams.empty(); }
 
     std::weak_ptr<server_connection_owner> m_owner;
-    boost::asio::steady_timer m_handshake_timer;
+    single_shot_timer m_handshake_timer;
     std::string m_peer_name;
     std::map<std::int32_t, std::unique_ptr<call_state>> m_streams;
     bool m_draining = false;
--- a/tests/auto/libs/eventloop/tst_eventloop.cpp
+++ b/tests/auto/libs/eventloop/tst_eventloop.cpp
@@ -1,7 +1,10 @@
 #include "libs/eventloop/asiotimerservice.h"
 #include "libs/eventloop/eventloop.h"
+#include "libs/eventloop/singleshottimer.h"
 
+#include <memory>
 #include <stdexcept>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -107,6 +110,43 @@
     BOOST_TEST(!ran);
 }
 
+// Guards against a queued callback of an earlier start or of a cancelled timer, which took place after a suspension:
+// both timers have expired when the first callback runs.
+BOOST_AUTO_TEST_CASE(a_queued_callback_does_not_outlive_its_start)
+{
+    for (const bool restarts : {false, true}) {
+        event_loop loop;
+        single_shot_timer first(loop.context().get_executor());
+        single_shot_timer second(loop.context().get_executor());
+        std::vector<std::string> calls;
+        first.start(milliseconds(1), [&] {
+            second.cancel();
+            if (restarts)
+                second.start(milliseconds(20), [&] { calls.emplace_back("restarted"); });
+        });
+        second.start(milliseconds(2), [&] { calls.emplace_back("outdated"); });
+        std::this_thread::sleep_for(milliseconds(10));
+        loop.context().run_for(milliseconds(100));
+        const std::vector<std::string> expected =
+            restarts ? std::vector<std::string>{"restarted"} : std::vector<std::string>{};
+        BOOST_TEST(calls == expected, boost::test_tools::per_element());
+    }
+}
+
+// Guards against a callback that runs after its timer has been destroyed.
+BOOST_AUTO_TEST_CASE(no_callback_of_a_destroyed_timer)
+{
+    event_loop loop;
+    bool ran = false;
+    auto second = std::make_unique<single_shot_timer>(loop.context().get_executor());
+    single_shot_timer first(loop.context().get_executor());
+    first.start(milliseconds(1), [&] { second.reset(); });
+    second->start(milliseconds(2), [&] { ran = true; });
+    std::this_thread::sleep_for(milliseconds(10));
+    loop.context().run_for(milliseconds(50));
+    BOOST_TEST(!ran);
+}
+
 // Guards against an exception in one callback that ends the process, or the timers that are due at the same time.
 BOOST_AUTO_TEST_CASE(an_exception_ends_only_its_callback)
 {
--- a/tests/auto/libs/http1/tst_http1client.cpp
+++ b/tests/auto/libs/http1/tst_http1client.cpp
@@ -349,6 +349,57 @@
     BOOST_TEST(run_until([&] { return is_later; }));
 }
 
+// Guards against a request that runs twice: it was sent and then reported as not sent, because the connect timeout had
+// expired during a suspension that ended after the connection was established.
+BOOST_FIXTURE_TEST_CASE(an_expired_connect_timeout_does_not_end_a_sent_request, client_fixture)
+{
+    http1_client_settings settings;
+    settings.connect_timeout = 50ms;
+    for (int i = 0; i < 20; ++i) {
+        http1_client impatient_client(loop, timers, settings);
+        server.script = {valid_response};
+        http_request request;
+        request.method = "GET";
+        request.url = server.url("/p");
+        request.timeout = 2s;
+        std::string outcome;
+        impatient_client.send(std::move(request), [&](leaf::result<http_response> result) {
+            outcome =
+                result ? result->body : std::string(to_string(error_of(std::move(result), http_error::too_large)));
+        });
+        std::this_thread::sleep_for(60ms);
+        BOOST_TEST(run_until([&] { return !outcome.empty(); }));
+        BOOST_TEST(outcome == "ok");
+    }
+}
+
+// Guards against a response that is given up although a part of it arrived in time: the time limit of the part before
+// has expired during a suspension.
+BOOST_FIXTURE_TEST_CASE(an_expired_stall_timeout_does_not_end_a_response_that_arrived, test_event_loop)
+{
+    http1_client client(loop, timers);
+    tcp::acceptor acceptor(loop.context(), {boost::asio::ip::make_address("127.0.0.1"), 0});
+    http_request request;
+    request.method = "GET";
+    request.url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/p";
+    request.timeout = 100ms;
+    request.stall_timeout = 100ms;
+    std::string outcome;
+    client.send(std::move(request), [&](leaf::result<http_response> result) {
+        outcome = result ? result->body : std::string(to_string(error_of(std::move(result), http_error::too_large)));
+    });
+    tcp::socket peer(loop.context());
+    const auto send = [&](const std::string& bytes) { boost::asio::write(peer, boost::asio::buffer(bytes)); };
+    timers.schedule(20ms, [&] {
+        acceptor.accept(peer);
+        send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nx");
+        std::this_thread::sleep_for(120ms);
+    });
+    timers.schedule(200ms, [&] { send("xx"); });
+    BOOST_TEST(run_until([&] { return !outcome.empty(); }));
+    BOOST_TEST(outcome == "xxx");
+}
+
 // Guards against reusing the connection of a cancelled request, and against calling its callback.
 BOOST_FIXTURE_TEST_CASE(cancelled_request_closes_its_connection, client_fixture)
 {
--- a/tests/auto/libs/http1/tst_http1server.cpp
+++ b/tests/auto/libs/http1/tst_http1server.cpp
@@ -3,12 +3,15 @@
 #include "fakes/testeventloop.h"
 
 #include <map>
+#include <thread>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
 namespace mulberry {
 
+using namespace std::chrono_literals;
+
 namespace {
 
 struct recording_handler final : http1_handler {
@@ -93,6 +96,37 @@
     BOOST_TEST(handler.requests.empty());
 }
 
+// Guards against a request that is read and ends without a response: the idle limit, or the time for its header, has
+// expired during a suspension in which the request arrived.
+BOOST_FIXTURE_TEST_CASE(an_expired_timer_of_an_earlier_phase_does_not_close_the_connection, server_fixture)
+{
+    http1_limits limits = small_limits();
+    limits.idle_timeout = 1ms; // the server adds a margin
+    limits.header_timeout = 100ms;
+    server.set_limits(limits);
+    handler.hold_responses = true;
+    for (const std::string first_bytes : {"", "POST /one HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"}) {
+        raw_client client(*this, port);
+        if (!first_bytes.empty())
+            client.send(first_bytes);
+        bool is_suspended = false;
+        timers.schedule(20ms, [&] {
+            client.send(first_bytes.empty() ? "GET /one HTTP/1.1\r\nHost: a\r\n\r\n" : "\r\nabc");
+            std::this_thread::sleep_for(2200ms);
+            is_suspended = true;
+        });
+        BOOST_TEST(run_until([&] { return is_suspended; }));
+        BOOST_TEST(run_until([&] { return handler.pending_callbacks.size() == 1 || handler.callers_gone > 0; }));
+        bool is_later = false;
+        timers.schedule(50ms, [&] { is_later = true; });
+        run_until([&] { return is_later; });
+        BOOST_REQUIRE(handler.pending_callbacks.size() == 1U);
+        handler.pending_callbacks.begin()->second({200, {}, "done"});
+        handler.pending_callbacks.clear();
+        BOOST_TEST(client.received("done"));
+    }
+}
+
 // Guards against processing requests of a caller that has closed its connection.
 BOOST_FIXTURE_TEST_CASE(handler_is_notified_of_a_disconnected_caller, server_fixture)
 {
