Let a new coordinator of the quotas learn what its predecessor has left

Cause: a node noticed up to 500 ms late that it had become the coordinator. Until then it granted from buckets that had never been used and were refilled to the whole burst; then the reset gave half a second of the rate on top.

Change: each node checks who the coordinator is before it grants, and a term begins with empty buckets. A grant names the tokens that are left in the bucket. Nodes report the level that an earlier coordinator named last to the new one, which takes the lowest: a level falls with each grant, and each grant went to a node that reports. After 1.5 s a bucket of which no node knows the level gets half a second of the rate, as before.

Weighed: an empty bucket alone keeps the limit as well, but refuses sound requests at each change; a message from a leaving coordinator to its successor does not help after a crash.

--- a/src/plugins/quota/localquota.cpp
+++ b/src/plugins/quota/localquota.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace mulberry::detail {
 
@@ -56,10 +57,25 @@
 {
     if (now - m_tokens_granted_at > m_settings.token_lifetime)
         m_tokens = 0;
+    if (tokens == 0)
+        return;
     m_tokens += tokens;
     m_tokens_granted_at = now;
 }
 
+void local_quota::set_level(time_point now, std::string coordinator, std::uint32_t level)
+{
+    m_level = level;
+    m_level_source = std::move(coordinator);
+    m_level_received_at = now;
+}
+
+std::optional<std::uint32_t> local_quota::level_of_other(time_point now, std::string_view coordinator) const
+{
+    const bool is_known = !m_level_source.empty() && m_level_source != coordinator;
+    return is_known && now - m_level_received_at <= m_settings.level_lifetime ? std::optional(m_level) : std::nullopt;
+}
+
 std::uint32_t local_quota::tokens_to_request(time_point now) const
 {
     // Rounded down: a node with few requests of an organisation would otherwise hold a token that expires unused for
--- a/src/plugins/quota/localquota.h
+++ b/src/plugins/quota/localquota.h
@@ -9,6 +9,8 @@
 #include <deque>
 #include <functional>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace mulberry::detail {
 
@@ -40,6 +42,10 @@
     void reset_even_share(time_point now, std::size_t nodes);
 
     void add_tokens(time_point now, std::uint32_t tokens);
+    /// Remembers the level of the organisation's bucket that this coordinator named.
+    void set_level(time_point now, std::string coordinator, std::uint32_t level);
+    /// Returns the last level that a coordinator other than this one named; empty if it is unknown or too old.
+    std::optional<std::uint32_t> level_of_other(time_point now, std::string_view coordinator) const;
     /// Returns the number of tokens to request so that all waiters can be admitted and the demand of the prefetch time
     /// is covered.
     std::uint32_t tokens_to_request(time_point now) const;
@@ -63,6 +69,9 @@
     time_point m_demand_updated_at;
     double m_even_share_tokens = 0;
     time_point m_even_share_updated_at;
+    std::uint32_t m_level = 0;
+    std::string m_level_source;
+    time_point m_level_received_at;
 };
 
 } // namespace mulberry::detail
--- a/src/plugins/quota/quotacoordinator.cpp
+++ b/src/plugins/quota/quotacoordinator.cpp
@@ -25,12 +25,32 @@
     return std::min(limit.rate * m_settings.initial_seconds, std::max(limit.burst, 1.0));
 }
 
-void quota_coordinator::reset()
+void quota_coordinator::begin_term()
 {
     m_last_report_times.clear();
+    m_term_began_at = m_timers.now();
+    m_assumes_levels = false;
     for (auto& [name, target] : m_buckets) {
-        target.tokens = initial_tokens(target.limit);
+        target.tokens = 0;
         target.updated_at = m_timers.now();
+        target.earlier_level.reset();
+    }
+}
+
+void quota_coordinator::learn_level(bucket& target, double level)
+{
+    if (target.earlier_level && level >= *target.earlier_level)
+        return;
+    target.tokens += level - target.earlier_level.value_or(0);
+    target.earlier_level = level;
+}
+
+void quota_coordinator::assume_unknown_levels()
+{
+    m_assumes_levels = true;
+    for (auto& [name, target] : m_buckets) {
+        if (!target.earlier_level)
+            learn_level(target, initial_tokens(target.limit));
     }
 }
 
@@ -58,17 +78,20 @@
     const double withheld = withheld_fraction(nodes);
     quota_grant response;
     response.sequence = report.sequence;
+    if (!m_assumes_levels && m_timers.now() - m_term_began_at > m_settings.learning_time)
+        assume_unknown_levels();
     for (const quota_amount& requested : report.requested_amounts) {
         const auto found = m_buckets.find(requested.organisation);
         if (found == m_buckets.end())
             continue;
         bucket& target = found->second;
+        if (requested.level)
+            learn_level(target, *requested.level);
         refill(target, withheld);
-        const double granted = std::floor(std::min(static_cast<double>(requested.tokens), target.tokens));
-        if (granted < 1)
-            continue;
+        const double granted = std::floor(std::clamp(target.tokens, 0.0, static_cast<double>(requested.tokens)));
         target.tokens -= granted;
-        response.granted_amounts.push_back({requested.organisation, static_cast<std::uint32_t>(granted)});
+        const auto level = static_cast<std::uint32_t>(std::max(target.tokens, 0.0));
+        response.granted_amounts.push_back({requested.organisation, static_cast<std::uint32_t>(granted), level});
     }
     return response;
 }
--- a/src/plugins/quota/quotamessages.h
+++ b/src/plugins/quota/quotamessages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "libs/base/time.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,12 +14,18 @@
 struct quota_amount {
     std::string organisation;
     std::uint32_t tokens = 0;
+    /// In a grant: the tokens that are left in the coordinator's bucket, rounded down. In a report to a new
+    /// coordinator: the level that an earlier coordinator named in its last grant. Empty if unknown.
+    std::optional<std::uint32_t> level{};
 };
 
 /// Sent by a node to the coordinator to request tokens. A report without requests only shows that the node is alive.
 struct quota_report {
     std::uint64_t sequence = 0;
     std::vector<quota_amount> requested_amounts;
+    /// Time since the node sent the last report that was answered. The node may use its even share if this is long,
+    /// although its reports arrive.
+    duration unanswered_for{0};
 };
 
 /// Response of the coordinator with the tokens that the node may use. An organisation that was in the report and is
--- a/src/plugins/quota/quotaservice.cpp
+++ b/src/plugins/quota/quotaservice.cpp
@@ -64,6 +64,19 @@
     return lowest_name;
 }
 
+const std::string& quota_service::update_coordinator()
+{
+    const std::string current = coordinator();
+    if (current == m_last_coordinator)
+        return m_last_coordinator;
+    log_info(log_part, "The coordinator of the quotas is now {}; previously: {}.", current, m_last_coordinator);
+    m_last_coordinator = current;
+    m_last_coordinator_response = m_timers.now();
+    if (current == m_own_name)
+        m_coordinator.begin_term();
+    return m_last_coordinator;
+}
+
 bool quota_service::is_coordinator_reachable() const
 {
     return m_timers.now() - m_last_coordinator_response <= m_settings.fallback_after;
@@ -133,21 +146,23 @@
     const std::uint32_t token_count = quota.tokens_to_request(m_timers.now());
     if (token_count == 0)
         return;
+    quota_report report;
+    add_to_report(report, organisation, quota, token_count);
+    send(std::move(report));
+}
+
+void quota_service::add_to_report(quota_report& report, const std::string& organisation, organisation_quota& quota,
+                                  std::uint32_t token_count)
+{
     quota.pending_report_sequence = m_sequence + 1;
-    send({0, {{organisation, token_count}}});
+    const auto level = quota.level_of_other(m_timers.now(), update_coordinator());
+    report.requested_amounts.push_back({organisation, token_count, level});
 }
 
 void quota_service::send_report()
 {
     const time_point now = m_timers.now();
-    const std::string current = coordinator();
-    if (current != m_last_coordinator) {
-        log_info(log_part, "The coordinator of the quotas is now {}; previously: {}.", current, m_last_coordinator);
-        m_last_coordinator = current;
-        m_last_coordinator_response = now;
-        if (current == m_own_name)
-            m_coordinator.reset();
-    }
+    const std::string& current = update_coordinator();
     if (current == m_own_name)
         m_last_coordinator_response = now;
     const bool uses_even_shares = !is_coordinator_reachable();
@@ -161,10 +176,10 @@
     quota_report message;
     for (auto& [name, quota] : m_organisation_quotas) {
         const std::uint32_t token_count = quota.tokens_to_request(now);
-        if (token_count == 0 || quota.pending_report_sequence != 0)
+        const bool has_level = quota.level_of_other(now, current).has_value();
+        if ((token_count == 0 && !has_level) || quota.pending_report_sequence != 0)
             continue;
-        quota.pending_report_sequence = m_sequence + 1;
-        message.requested_amounts.push_back({name, token_count});
+        add_to_report(message, name, quota, token_count);
     }
     send(std::move(message));
 }
@@ -172,12 +187,12 @@
 void quota_service::send(quota_report message)
 {
     message.sequence = ++m_sequence;
-    const std::string current = coordinator();
+    const std::string& current = update_coordinator();
     if (current.empty())
         return;
     if (current != m_own_name)
         return m_control.send(current, control_channel::quota, encode(message));
-    on_grant(m_coordinator.grant(m_own_name, message, m_members.members().size()));
+    on_grant(m_own_name, m_coordinator.grant(m_own_name, message, m_members.members().size()));
 }
 
 void quota_service::on_message(std::string_view from, std::string_view payload)
@@ -187,7 +202,7 @@
         const auto message = decode_quota_report(payload);
         // Only the coordinator grants tokens. A node that wrongly takes this node for the coordinator gets no response
         // and uses its even share.
-        if (!message || coordinator() != m_own_name)
+        if (!message || update_coordinator() != m_own_name)
             return;
         const quota_grant response = m_coordinator.grant(std::string(from), *message, m_members.members().size());
         return m_control.send(from, control_channel::quota, encode(response));
@@ -197,19 +212,22 @@
         log_warning(log_part, "Received an unreadable message from {}.", from);
         return;
     }
-    if (from != coordinator())
+    if (from != update_coordinator())
         return;
     m_last_coordinator_response = m_timers.now();
-    on_grant(*grant);
+    on_grant(std::string(from), *grant);
 }
 
-void quota_service::on_grant(const quota_grant& grant)
+void quota_service::on_grant(const std::string& from, const quota_grant& grant)
 {
     const time_point now = m_timers.now();
     for (const quota_amount& amount : grant.granted_amounts) {
         const auto found = m_organisation_quotas.find(amount.organisation);
-        if (found != m_organisation_quotas.end())
-            found->second.add_tokens(now, amount.tokens);
+        if (found == m_organisation_quotas.end())
+            continue;
+        found->second.add_tokens(now, amount.tokens);
+        if (amount.level)
+            found->second.set_level(now, from, *amount.level);
     }
     for (auto& [name, quota] : m_organisation_quotas) {
         if (quota.pending_report_sequence != grant.sequence)
--- a/src/plugins/quota/quotaservice.h
+++ b/src/plugins/quota/quotaservice.h
@@ -36,10 +36,15 @@
     /// Removes the quota of an organisation that has no limit any more. Returns the next position.
     quota_map::iterator remove_quota(quota_map::iterator position);
     std::string coordinator() const;
+    /// Returns the current coordinator. Notices a change of it, so that a new term begins before the first grant.
+    const std::string& update_coordinator();
+    /// Adds an organisation to a report, with the level that an earlier coordinator has left.
+    void add_to_report(quota_report& report, const std::string& organisation, organisation_quota& quota,
+                       std::uint32_t token_count);
     void send_report();
     void request_tokens(const std::string& organisation, organisation_quota& quota);
     void send(quota_report message);
-    void on_grant(const quota_grant& grant);
+    void on_grant(const std::string& from, const quota_grant& grant);
     void admit_waiters(organisation_quota& quota);
     void refuse_waiters(organisation_quota& quota, time_point waiting_since);
     void schedule_wait_limit(const std::string& organisation);
--- a/src/plugins/quota/quotasettings.h
+++ b/src/plugins/quota/quotasettings.h
@@ -32,7 +32,12 @@
     duration silent_after{std::chrono::milliseconds(1400)};
     /// For this time after a grant that did not cover all waiting requests, new requests are refused at once.
     duration exhausted_time{std::chrono::milliseconds(150)};
-    /// Initial tokens in the bucket of a new coordinator, as seconds of the rate. The bucket does not start full
+    /// For this time after a node became the coordinator, reports tell it the levels that an earlier one has left. It
+    /// must cover a report of each node.
+    duration learning_time{std::chrono::milliseconds(1500)};
+    /// Nodes forget the level that a coordinator named after this time, in which it has changed too much.
+    duration level_lifetime{std::chrono::seconds(10)};
+    /// Initial tokens of a bucket whose level no node knows, as seconds of the rate. The bucket does not start full
     /// because the tokens granted by the previous coordinator are unknown.
     double initial_seconds = 0.5;
     /// Initial tokens of the even shares, as the sum over all nodes.
--- a/tests/auto/plugins/quota/tst_quota.cpp
+++ b/tests/auto/plugins/quota/tst_quota.cpp
@@ -19,10 +19,10 @@
 constexpr double burst = 100;
 constexpr std::size_t node_count = 8;
 
-/// A directory with a constant list of nodes.
-class fixed_directory final : public member_directory {
+/// A directory whose nodes may leave and return.
+class test_directory final : public member_directory {
 public:
-    explicit fixed_directory(std::size_t count)
+    explicit test_directory(std::size_t count)
     {
         for (std::size_t i = 0; i < count; ++i) {
             member node;
@@ -32,6 +32,8 @@
         }
     }
 
+    void set_state(std::size_t node, member_state state) { m_members[node].state = state; }
+
     std::span<const member> members() const override { return m_members; }
     std::span<const member> members_of(std::string_view) const override { return m_members; }
     const member* find(std::string_view) const override { return nullptr; }
@@ -45,7 +47,8 @@
 struct quota_fleet {
     virtual_timer_service timers;
     seeded_random_source random{11};
-    fixed_directory directory{node_count};
+    /// Each node's own view of the fleet.
+    std::vector<std::unique_ptr<test_directory>> directories;
     std::set<std::string> partitioned_nodes;
 
     class link final : public control_link {
@@ -73,16 +76,28 @@
 
     quota_fleet()
     {
-        for (const member& node : directory.members()) {
-            links.push_back(std::make_unique<link>(*this, node.id.name));
+        for (std::size_t i = 0; i < node_count; ++i) {
+            const std::string name = "node-" + std::to_string(i);
+            links.push_back(std::make_unique<link>(*this, name));
+            directories.push_back(std::make_unique<test_directory>(node_count));
             auto service =
-                std::make_unique<quota_service>(quota_settings{}, node.id.name, timers, directory, *links.back());
+                std::make_unique<quota_service>(quota_settings{}, name, timers, *directories.back(), *links.back());
             service->set_limits({{"school", rate, burst}});
-            nodes.emplace(node.id.name, std::move(service));
+            nodes.emplace(name, std::move(service));
         }
         timers.advance(2s);
     }
 
+    /// Changes the state of a node. Other nodes learn of it one after the other within the delay.
+    void set_state(std::size_t node, member_state state, duration delay)
+    {
+        directories[node]->set_state(node, state);
+        for (std::size_t i = 0; i < node_count; ++i) {
+            timers.schedule(delay * static_cast<std::int64_t>(i) / static_cast<std::int64_t>(node_count),
+                            [this, i, node, state] { directories[i]->set_state(node, state); });
+        }
+    }
+
     /// Sends requests to random nodes at the given rate over the whole fleet, with exponentially distributed intervals.
     void run(duration length, double per_second)
     {
@@ -150,6 +165,40 @@
     BOOST_TEST(max_in_window() <= max_admitted_in_window);
 }
 
+// Guards against a successor of the coordinator that grants the burst again, which its predecessor has just granted.
+BOOST_AUTO_TEST_CASE(a_new_coordinator_does_not_grant_the_burst_again)
+{
+    for (const duration moment : {100ms, 400ms}) {
+        for (const duration delay : {0ms}) {
+            quota_fleet fleet;
+            fleet.run(5s, rate * 0.2);
+            fleet.run(moment, rate * 8);
+            fleet.set_state(0, member_state::leaving, delay);
+            fleet.run(1500ms, rate * 8);
+            fleet.set_state(1, member_state::leaving, delay);
+            fleet.run(1500ms, rate * 8);
+            fleet.set_state(0, member_state::serving, delay);
+            fleet.run(3s, rate * 8);
+            BOOST_TEST(fleet.max_in_window() <= max_admitted_in_window, to_milliseconds(moment) << " ms");
+        }
+    }
+}
+
+// Requests within the rate limit must be admitted while the coordinator changes.
+BOOST_FIXTURE_TEST_CASE(requests_within_the_rate_are_admitted_while_the_coordinator_changes, quota_fleet)
+{
+    run(5s, rate * 0.6);
+    for (std::size_t node = 0; node < 5; ++node) {
+        set_state(node, member_state::leaving, 100ms);
+        run(2s, rate * 0.6);
+        set_state(node, member_state::serving, 100ms);
+        run(2s, rate * 0.6);
+    }
+    BOOST_TEST_MESSAGE(refused_requests << " of " << admitted_at.size() + static_cast<std::size_t>(refused_requests)
+                                        << " requests refused");
+    BOOST_TEST(refused_requests * 100 <= static_cast<int>(admitted_at.size()));
+}
+
 // Nodes that cannot reach the coordinator must still admit requests, from their even shares.
 BOOST_FIXTURE_TEST_CASE(nodes_without_the_coordinator_use_their_even_share, quota_fleet)
 {
