Reject odd entries of nodes and upstreams, and limit the nesting of JSON

Reported by an operator: one odd entry in the list of targets, very deeply nested, with a number too large or a port out of range, ended the machines that read it, or they stopped following the list.

Found here: no end of a process. nlohmann's parser and destructor do not recurse, but 1 MiB of brackets takes 85 MB while it is parsed, and the port for announcements took bodies up to 64 MiB. A number of 2^32 + 1 was read as state 1 of a node, slots were cut to 32 bits, and a node with a port out of range or a host name was accepted, which the resolver then had to look up. A node whose own entry another writer had replaced did not write it again.

Change: one JSON library for all readers of foreign text, with a limit of the depth and range checks; the copies of the field functions in the registry and in the adapter are gone. Addresses of nodes must be numeric with a valid port. Ports that only the platform uses take bodies up to 64 KiB. A node writes its entry again when it finds something else there.

--- a/src/app/mulberryd/operatorjson.cpp
+++ b/src/app/mulberryd/operatorjson.cpp
@@ -1,6 +1,7 @@
 #include "app/mulberryd/operatorjson.h"
 
 #include "libs/base/asyncerror.h"
+#include "libs/json/jsonfields.h"
 
 #include <utility>
 
@@ -202,7 +203,7 @@
 
 std::optional<write_request> decode_write_request(std::string_view text)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = parse_json(text);
     if (!value.is_object() || !value.contains("key") || !value["key"].is_string() ||
         !value.contains("expected_revision") || !value["expected_revision"].is_number_integer())
         return std::nullopt;
@@ -231,7 +232,7 @@
 
 std::optional<write_response> decode_write_response(std::string_view text)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = parse_json(text);
     if (!value.is_object() || !value.contains("status") || !value["status"].is_number_integer() ||
         !value.contains("body"))
         return std::nullopt;
--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -23,6 +23,9 @@
 // The descriptor limit is divided by this number to obtain the limit for callers' connections. The rest is needed for
 // the upstream, other daemons and the store.
 constexpr std::size_t caller_descriptor_divisor = 2;
+// Limits of the ports that only the platform and the upstream beside this process use.
+constexpr std::size_t max_local_body_bytes = std::size_t{64} * 1024;
+constexpr std::size_t max_local_buffered_bytes = std::size_t{1024} * 1024;
 // How often a planned stop checks whether all work has finished.
 constexpr duration stop_poll_period = std::chrono::milliseconds(20);
 
@@ -70,6 +73,14 @@
     return settings;
 }
 
+http1_limits local_limits()
+{
+    http1_limits limits;
+    limits.max_body_bytes = max_local_body_bytes;
+    limits.max_buffered_body_bytes = max_local_buffered_bytes;
+    return limits;
+}
+
 } // namespace
 
 std::string_view to_string(sidecar_error error)
@@ -189,9 +200,9 @@
     m_announcement_port = std::make_unique<announcement_port>(*m_node, platform);
     m_metrics_port = std::make_unique<metrics_port>(*m_node, m_metrics);
     m_callers = std::make_unique<http1_server>(loop, *m_caller_port);
-    m_readiness = std::make_unique<http1_server>(loop, *m_readiness_port);
-    m_announcements = std::make_unique<http1_server>(loop, *m_announcement_port);
-    m_metrics_server = std::make_unique<http1_server>(loop, *m_metrics_port);
+    m_readiness = std::make_unique<http1_server>(loop, *m_readiness_port, local_limits());
+    m_announcements = std::make_unique<http1_server>(loop, *m_announcement_port, local_limits());
+    m_metrics_server = std::make_unique<http1_server>(loop, *m_metrics_port, local_limits());
     apply_limits({});
 }
 
--- a/src/libs/store/gatewaycodec.cpp
+++ b/src/libs/store/gatewaycodec.cpp
@@ -1,8 +1,9 @@
 #include "libs/store/gatewaycodec.h"
 
+#include "libs/json/jsonfields.h"
+
 #include <charconv>
 
-#include <nlohmann/json.hpp>
 #include <sodium.h>
 
 namespace mulberry::gateway {
@@ -49,7 +50,7 @@
 }
 
 /// A member that is true or false; false if it is missing.
-std::optional<bool> flag_of(const json& object, const char* name)
+std::optional<bool> optional_flag_of(const json& object, const char* name)
 {
     const auto member = object.find(name);
     if (member == object.end())
@@ -59,15 +60,8 @@
     return member->get<bool>();
 }
 
-/// A member that is an object; null if it is missing or has another type.
-const json* object_of(const json& object, const char* name)
-{
-    const auto member = object.find(name);
-    return member != object.end() && member->is_object() ? &*member : nullptr;
-}
-
 /// A member that is an array; an empty array if it is missing, null if it has another type.
-const json* list_of(const json& object, const char* name)
+const json* optional_list_of(const json& object, const char* name)
 {
     static const json empty = json::array();
     const auto member = object.find(name);
@@ -78,7 +72,7 @@
 
 std::optional<json> parse_object(std::string_view text)
 {
-    json parsed = json::parse(text, nullptr, false);
+    json parsed = parse_json(text);
     if (!parsed.is_object())
         return std::nullopt;
     return parsed;
@@ -112,8 +106,8 @@
 {
     range_result result;
     result.revision = revision;
-    const json* entries = list_of(root, "kvs");
-    if (entries == nullptr || flag_of(root, "more") != false)
+    const json* entries = optional_list_of(root, "kvs");
+    if (entries == nullptr || optional_flag_of(root, "more") != false)
         return std::nullopt;
     for (const json& object : *entries) {
         auto entry = entry_of(object);
@@ -282,8 +276,8 @@
     const auto revision = root ? header_revision(*root) : std::nullopt;
     if (!revision)
         return std::nullopt;
-    const auto succeeded = flag_of(*root, "succeeded");
-    const json* responses = list_of(*root, "responses");
+    const auto succeeded = optional_flag_of(*root, "succeeded");
+    const json* responses = optional_list_of(*root, "responses");
     if (!succeeded || responses == nullptr || responses->size() != 1 || !responses->front().is_object())
         return std::nullopt;
     const json& response = responses->front();
@@ -322,8 +316,8 @@
     const auto result = parse_streamed(line);
     if (!result)
         return std::nullopt;
-    const auto canceled = flag_of(*result, "canceled");
-    const json* events = list_of(*result, "events");
+    const auto canceled = optional_flag_of(*result, "canceled");
+    const json* events = optional_list_of(*result, "events");
     if (!canceled || events == nullptr)
         return std::nullopt;
     watch_message message;
--- a/src/plugins/registry/registryentry.cpp
+++ b/src/plugins/registry/registryentry.cpp
@@ -1,27 +1,35 @@
 #include "plugins/registry/registryentry.h"
 
-#include <nlohmann/json.hpp>
+#include "libs/documents/endpoints.h"
+#include "libs/json/jsonfields.h"
+
+#include <cstdint>
+#include <limits>
+
+#include <boost/asio/ip/address.hpp>
 
 namespace mulberry {
 
 namespace {
 
-/// Value of a field; empty if the field is missing or has another type.
-template <typename Value>
-std::optional<Value> field(const nlohmann::json& object, const char* name)
+/// Value of a member that is an unsigned integer and fits into 32 bits.
+std::optional<std::uint32_t> small_unsigned_of(const nlohmann::json& object, const char* name)
 {
-    const auto it = object.find(name);
-    if (it == object.end())
+    const auto value = unsigned_of(object, name);
+    if (!value || *value > std::numeric_limits<std::uint32_t>::max())
         return std::nullopt;
-    if constexpr (std::is_same_v<Value, std::string>) {
-        if (!it->is_string())
-            return std::nullopt;
-    }
-    else {
-        if (!it->is_number_integer() || (std::is_unsigned_v<Value> && !it->is_number_unsigned()))
-            return std::nullopt;
-    }
-    return it->get<Value>();
+    return static_cast<std::uint32_t>(*value);
+}
+
+/// Whether nodes can connect to an address: "IP:PORT" with a port above 0.
+bool is_connectable(std::string_view address)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint || endpoint->port == 0)
+        return false;
+    boost::system::error_code error;
+    boost::asio::ip::make_address(endpoint->address, error);
+    return !error;
 }
 
 } // namespace
@@ -44,17 +52,17 @@
 
 std::optional<member> decode_registry_entry(std::string_view name, std::string_view value)
 {
-    const auto object = nlohmann::json::parse(value, nullptr, false);
-    if (!object.is_object())
+    const nlohmann::json object = parse_json(value);
+    const auto incarnation = unsigned_of(object, "incarnation");
+    auto service = text_of(object, "service");
+    auto address = text_of(object, "address");
+    auto domain = text_of(object, "domain");
+    auto region = text_of(object, "region");
+    const auto state = small_unsigned_of(object, "state");
+    if (!incarnation || !service || !address || !domain || !region || !state)
         return std::nullopt;
-    const auto incarnation = field<std::uint64_t>(object, "incarnation");
-    auto service = field<std::string>(object, "service");
-    auto address = field<std::string>(object, "address");
-    auto domain = field<std::string>(object, "domain");
-    auto region = field<std::string>(object, "region");
-    const auto state = field<unsigned>(object, "state");
-    if (!incarnation || !service || !address || !domain || !region || !state ||
-        *state < static_cast<unsigned>(member_state::starting) || *state > static_cast<unsigned>(member_state::dead))
+    if (!is_connectable(*address) || *state < static_cast<unsigned>(member_state::starting) ||
+        *state > static_cast<unsigned>(member_state::dead))
         return std::nullopt;
     member node;
     node.id = {std::string(name), *incarnation};
@@ -62,11 +70,11 @@
     node.address = std::move(*address);
     node.location = {std::move(*domain), std::move(*region)};
     node.state = static_cast<member_state>(*state);
-    node.instance = field<std::string>(object, "instance").value_or(std::string());
-    node.slots = field<unsigned>(object, "slots").value_or(0);
-    node.instance_started_ms = field<std::int64_t>(object, "born").value_or(0);
-    node.upstream_leaving = field<unsigned>(object, "upstream_leaving").value_or(0) != 0;
-    node.sequence = field<std::uint64_t>(object, "sequence").value_or(0);
+    node.instance = text_of(object, "instance").value_or(std::string());
+    node.slots = small_unsigned_of(object, "slots").value_or(0);
+    node.instance_started_ms = integer_of(object, "born").value_or(0);
+    node.upstream_leaving = small_unsigned_of(object, "upstream_leaving").value_or(0) != 0;
+    node.sequence = unsigned_of(object, "sequence").value_or(0);
     return node;
 }
 
--- a/src/plugins/registry/storeregistry.cpp
+++ b/src/plugins/registry/storeregistry.cpp
@@ -163,12 +163,12 @@
         return;
     const std::string_view node_name = name.substr(members_prefix.size());
     auto decoded = decode_registry_entry(node_name, entry.value);
-    if (!decoded) {
+    if (!decoded)
         log_warning(log_part, "The entry {} is invalid and is ignored.", entry.key);
-        return;
-    }
     if (node_name == m_self.id.name)
-        return apply_own(entry, *decoded);
+        return apply_own(entry, decoded);
+    if (!decoded)
+        return;
     const auto known = m_nodes.find(node_name);
     if (known != m_nodes.end() && known->second.revision > entry.mod_revision)
         return;
@@ -187,13 +187,13 @@
     m_nodes[std::string(node_name)] = {std::move(*decoded), entry.mod_revision, std::nullopt};
 }
 
-void store_registry::apply_own(const store_entry& entry, const member& decoded)
+void store_registry::apply_own(const store_entry& entry, const std::optional<member>& decoded)
 {
     if (entry.mod_revision < m_own_revision)
         return;
     m_own_revision = entry.mod_revision;
-    if (decoded.id.incarnation != m_self.id.incarnation && m_on_earlier_run)
-        std::exchange(m_on_earlier_run, nullptr)(decoded);
+    if (decoded && decoded->id.incarnation != m_self.id.incarnation && m_on_earlier_run)
+        std::exchange(m_on_earlier_run, nullptr)(*decoded);
     if (decoded != m_self)
         publish();
 }
--- a/src/plugins/registry/storeregistry.h
+++ b/src/plugins/registry/storeregistry.h
@@ -71,7 +71,8 @@
     /// The store has gone back to an older copy: the lease and the own entry may be gone.
     void on_store_restored(std::int64_t revision);
     void apply(const store_entry& entry);
-    void apply_own(const store_entry& entry, const member& decoded);
+    /// Writes the own entry again if another writer or an earlier run has written it.
+    void apply_own(const store_entry& entry, const std::optional<member>& decoded);
     void mark_absent(std::string_view name, std::int64_t revision);
     void remove_absent_nodes();
     void forget_dead_nodes();
--- a/src/tools/mulberryctl/operatorsapi.cpp
+++ b/src/tools/mulberryctl/operatorsapi.cpp
@@ -1,6 +1,7 @@
 #include "tools/mulberryctl/operatorsapi.h"
 
 #include "libs/base/asyncerror.h"
+#include "libs/json/jsonfields.h"
 
 #include <algorithm>
 
@@ -31,7 +32,7 @@
 
 json parse_body(const std::string& body)
 {
-    json parsed = json::parse(body, nullptr, false);
+    json parsed = parse_json(body);
     return parsed.is_object() ? parsed : json();
 }
 
--- a/tests/auto/plugins/registry/tst_storeregistry.cpp
+++ b/tests/auto/plugins/registry/tst_storeregistry.cpp
@@ -193,10 +193,51 @@
     for (const char* value : {"", "[]", "{\"service\":7}", "{\"incarnation\":-1}", "\xff\xfe"}) {
         BOOST_TEST(!decode_registry_entry("node-9", value).has_value());
     }
+    const std::string valid = encode_registry_entry(make_member("node-9", 1));
+    BOOST_TEST(decode_registry_entry("node-9", valid).has_value());
+    const auto starting = static_cast<std::uint64_t>(member_state::starting);
+    const std::string state = "\"state\":" + std::to_string(starting);
+    const std::string deep(std::size_t{1} << 20, '[');
+    const std::vector<std::pair<std::string, std::string>> table{
+        {"10.0.0.1:7000", "10.0.0.1:70000"},
+        {"10.0.0.1:7000", "10.0.0.1:0"},
+        {"10.0.0.1:7000", "10.0.0.1"},
+        {"10.0.0.1:7000", "some-host:7000"},
+        {"10.0.0.1:7000", "10.0.0.1:-7000"},
+        {state, "\"state\":429496729600000000000000000000"},
+        {state, "\"state\":" + std::to_string((std::uint64_t{1} << 32) + starting)},
+        {"\"incarnation\":", "\"incarnation\":1e999,\"x\":"},
+        {"\"incarnation\":", "\"x\":" + deep + ",\"incarnation\":"},
+    };
+    for (const auto& [from, to] : table) {
+        std::string value = valid;
+        value.replace(value.find(from), from.size(), to);
+        BOOST_TEST(!decode_registry_entry("node-9", value).has_value(), to.substr(0, 60));
+    }
     backing_store.put_if("mulberry/members/node-9", 0, "garbage", 0, [](leaf::result<put_result>) {});
     timers.advance(1s);
     BOOST_TEST(first->registry.find("node-9") == nullptr);
     BOOST_TEST(first_lists_second(member_state::serving));
 }
 
+// Guards against a node that is lost to others because another writer has replaced its entry.
+BOOST_FIXTURE_TEST_CASE(a_replaced_own_entry_is_written_again, registry_fixture)
+{
+    const auto read_entry = [this] {
+        store_entry entry;
+        backing_store.get("mulberry/members/node-2", [&](leaf::result<range_result> result) {
+            if (result && !result->entries.empty())
+                entry = result->entries.front();
+        });
+        timers.advance(1ms);
+        return entry;
+    };
+    const std::int64_t revision = read_entry().mod_revision;
+    backing_store.put_if("mulberry/members/node-2", revision, std::string(1000, '['), 0,
+                         [](leaf::result<put_result>) {});
+    timers.advance(2s);
+    BOOST_TEST(decode_registry_entry("node-2", read_entry().value).has_value());
+    BOOST_TEST(first_lists_second(member_state::serving));
+}
+
 } // namespace mulberry
