Do not write an own entry again that other nodes would reject

Found by running all tests after the range checks: the fleets of the tests name addresses that are no longer valid, and their nodes wrote their entries without end, because what they read back could not be decoded. The raw text is compared now, which also holds for an instance name that is changed when it is encoded. The fleets use numeric addresses.

Test: an_own_entry_that_is_invalid_is_written_once in tst_storeregistry (it does not end without the change).

--- a/src/plugins/registry/storeregistry.cpp
+++ b/src/plugins/registry/storeregistry.cpp
@@ -194,7 +194,7 @@
     m_own_revision = entry.mod_revision;
     if (decoded && decoded->id.incarnation != m_self.id.incarnation && m_on_earlier_run)
         std::exchange(m_on_earlier_run, nullptr)(*decoded);
-    if (decoded != m_self)
+    if (entry.value != encode_registry_entry(m_self))
         publish();
 }
 
--- a/tests/auto/app/sidecar/sidecarfleet.cpp
+++ b/tests/auto/app/sidecar/sidecarfleet.cpp
@@ -63,6 +63,7 @@
         entry->settings.node_name = fmt::format("orders-{}", number);
         entry->settings.service = "orders";
         entry->settings.upstream_address = fmt::format("10.0.0.{}:80", number);
+        entry->settings.peers = {fmt::format("10.0.0.{}", number), 7000};
         entry->settings.location =
             number % 2 == 0 ? node_location{"quay", "south"} : node_location{"curepipe", "north"};
         entry->upstream = std::make_unique<fake_upstream>(m_timers, m_random);
--- a/tests/auto/app/sidecar/tst_sidecarnode.cpp
+++ b/tests/auto/app/sidecar/tst_sidecarnode.cpp
@@ -54,6 +54,7 @@
         settings.node_name = "orders-1";
         settings.service = "orders";
         settings.upstream_address = "10.0.0.1:80";
+        settings.peers = {"10.0.0.1", 7000};
         settings.location = {"quay", "south"};
         field_names fields;
         fields.leaving = "Leaving";
--- a/tests/auto/platform/tst_restoredstore.cpp
+++ b/tests/auto/platform/tst_restoredstore.cpp
@@ -23,7 +23,7 @@
     member self;
     self.id = {name, 1};
     self.service = "orders";
-    self.address = name;
+    self.address = "10.0.0.1:7000";
     self.location = {"quay", "south"};
     self.state = member_state::serving;
     return self;
--- a/tests/auto/plugins/registry/tst_storeregistry.cpp
+++ b/tests/auto/plugins/registry/tst_storeregistry.cpp
@@ -220,6 +220,27 @@
     BOOST_TEST(first_lists_second(member_state::serving));
 }
 
+// Guards against a node that writes its entry without end because other nodes would reject it.
+BOOST_FIXTURE_TEST_CASE(an_own_entry_that_is_invalid_is_written_once, registry_fixture)
+{
+    member self = make_member("node-3", 1);
+    self.address = "node-3";
+    const node third(backing_store, timers, self);
+    timers.advance(1s);
+    const auto read_revision = [this] {
+        std::int64_t revision = 0;
+        backing_store.get("mulberry/members/node-3", [&](leaf::result<range_result> result) {
+            revision = result && !result->entries.empty() ? result->entries.front().mod_revision : 0;
+        });
+        timers.advance(1ms);
+        return revision;
+    };
+    const std::int64_t revision = read_revision();
+    BOOST_TEST(revision > 0);
+    timers.advance(1s);
+    BOOST_TEST(read_revision() == revision);
+}
+
 // Guards against a node that is lost to others because another writer has replaced its entry.
 BOOST_FIXTURE_TEST_CASE(a_replaced_own_entry_is_written_again, registry_fixture)
 {
--- a/tests/auto/plugins/storerelay/relayfleet.cpp
+++ b/tests/auto/plugins/storerelay/relayfleet.cpp
@@ -31,7 +31,7 @@
     member self;
     self.id = {name, incarnation};
     self.service = "orders";
-    self.address = name;
+    self.address = "10.0.0.1:7000";
     self.location = {domain, "south"};
     self.state = member_state::serving;
     return self;
