Do not take a repeated refusal for the response to the next request

Reported by an operator: a faulty target wrote an earlier refusal once more on a kept connection, and clients were told that a request had not run which a target had run or was running.

Found here in two ways. A response without the id of its request was accepted on a connection that had served an earlier request. A request that was sent again to the upstream that had refused it (421, then a new run of the upstream) could meet a copy with its own id.

Change: a response without an id fails the connection, unless it is the first one of the connection. A request whose id is that of the connection's last request gets another connection. mulberryd reads no statement that a request has not run.

Tests: a_repeated_refusal_is_not_the_response_to_the_next_request and a_request_is_not_sent_again_on_the_connection_of_its_refusal failed before. A header that is cut is an error at every length in both clients already: a_response_whose_header_is_cut_is_an_error, incomplete_responses_are_errors.

--- a/src/libs/http1/http1client.cpp
+++ b/src/libs/http1/http1client.cpp
@@ -36,7 +36,7 @@
     {
         const http_call_id id = ++m_last_id;
         std::string server = server_of(request.url);
-        auto connection = take_idle_connection(server, request.repeatable);
+        auto connection = take_idle_connection(server, request);
         if (!connection) {
             connection = std::make_shared<http1_client_connection>(m_loop.context(), m_timers, m_settings,
                                                                    weak_from_this(), std::move(server));
@@ -116,18 +116,20 @@
         connection.watch_while_idle();
     }
 
-    /// Returns the most recently used idle connection, which is the most likely to be open still, or null if there is
-    /// none that may be reused.
-    std::shared_ptr<http1_client_connection> take_idle_connection(const std::string& server, bool repeatable)
+    /// Returns the most recently used idle connection, which is the most likely to be open still, or null if it may not
+    /// be reused for this request.
+    std::shared_ptr<http1_client_connection> take_idle_connection(const std::string& server,
+                                                                  const http_request& request)
     {
         const auto found = m_idle_connections.find(server);
         if (found == m_idle_connections.end())
             return nullptr;
         auto connection = found->second.back();
         const duration idle_time = m_timers.now() - connection->idle_since();
-        const duration limit = repeatable ? connection->idle_limit()
-                                          : std::min(connection->idle_limit(), m_settings.unrepeatable_idle_limit);
-        if (idle_time >= limit)
+        const duration limit = request.repeatable
+                                   ? connection->idle_limit()
+                                   : std::min(connection->idle_limit(), m_settings.unrepeatable_idle_limit);
+        if (idle_time >= limit || !connection->can_distinguish(request))
             return nullptr;
         found->second.pop_back();
         if (found->second.empty())
--- a/src/libs/http1/http1clientconnection.cpp
+++ b/src/libs/http1/http1clientconnection.cpp
@@ -195,16 +195,33 @@
             return fail(http_error::connection_lost);
         return read();
     }
+    if (is_ambiguous_response())
+        return fail(http_error::connection_lost);
     on_response(m_parser->need_eof());
 }
 
+std::string_view http1_client_connection::echoed_value(const http_request& request)
+{
+    return request.echoed_field.empty() ? std::string_view{} : find_header(request.headers, request.echoed_field);
+}
+
+bool http1_client_connection::can_distinguish(const http_request& request) const
+{
+    const std::string_view value = echoed_value(request);
+    return value.empty() || value != echoed_value(m_request);
+}
+
 bool http1_client_connection::is_response_to_other_request() const
 {
     if (m_request.echoed_field.empty())
         return false;
     const auto echoed = m_parser->get()[m_request.echoed_field];
-    const std::string_view sent = find_header(m_request.headers, m_request.echoed_field);
-    return !echoed.empty() && std::string_view(echoed.data(), echoed.size()) != sent;
+    return !echoed.empty() && std::string_view(echoed.data(), echoed.size()) != echoed_value(m_request);
+}
+
+bool http1_client_connection::is_ambiguous_response() const
+{
+    return m_has_served && !echoed_value(m_request).empty() && m_parser->get()[m_request.echoed_field].empty();
 }
 
 void http1_client_connection::update_idle_limit()
@@ -252,6 +269,7 @@
     m_timer.cancel();
     release_reserved_bytes();
     if (reusable) {
+        m_has_served = true;
         m_parser.reset();
         m_wire_request.reset();
         m_buffer.shrink_to_fit();
--- a/src/libs/http1/http1clientconnection.h
+++ b/src/libs/http1/http1clientconnection.h
@@ -51,6 +51,10 @@
     void watch_while_idle();
     void close();
 
+    /// Whether the value of the echoed field distinguishes the responses to this request from repeated responses to the
+    /// connection's last request.
+    bool can_distinguish(const http_request& request) const;
+
     const std::string& server() const { return m_server; }
     time_point idle_since() const { return m_idle_since; }
     /// Maximum time that the connection may stay idle before it is closed.
@@ -75,6 +79,10 @@
     void fail(http_error error);
     void finish(leaf::result<http_response> result, bool reusable);
     bool is_response_to_other_request() const;
+    /// True if the response does not name its request although an earlier request of the connection could be meant.
+    bool is_ambiguous_response() const;
+    /// Value of the request's echoed field; empty if it has none.
+    static std::string_view echoed_value(const http_request& request);
     void update_idle_limit();
 
     boost::asio::ip::tcp::socket m_socket;
@@ -88,6 +96,8 @@
     http_request m_request;
     std::shared_ptr<wire_request> m_wire_request;
     http_call_id m_id = 0;
+    /// True once the connection has delivered a response.
+    bool m_has_served = false;
     time_point m_idle_since;
     duration m_idle_limit;
     /// Number of times that the connection became idle.
