--- a/tests/auto/app/sidecar/tst_sidecarcrashes.cpp
+++ b/tests/auto/app/sidecar/tst_sidecarcrashes.cpp
@@ -150,6 +150,34 @@
     BOOST_TEST(scenario.crashing_runs() == runs);
 }
 
+// Guards against a crashing request that many callers send at once, so that several upstreams crash within the time
+// that the reports take, beside restarts of nodes and a cut between them.
+BOOST_FIXTURE_TEST_CASE(request_that_crashes_several_upstreams_at_once_is_sent_on, crash_fixture)
+{
+    const std::vector<std::string> names = fleet.names();
+    for (int i = 0; i < 100; ++i) {
+        const bool is_stopped = i > 5 && i <= 15;
+        for (const std::string& node : names) {
+            if (node == names[2] && is_stopped)
+                continue;
+            scenario.send(node, "sound" + std::to_string(i % 20));
+            if (i % 2 == 0)
+                scenario.send(node, "crash");
+        }
+        if (i == 5)
+            fleet.stop(names[2]);
+        if (i == 15)
+            fleet.start(names[2]);
+        if (i == 20 || i == 40)
+            fleet.set_group(names[5], i == 20 ? 1 : 0);
+        fleet.run(100ms);
+    }
+    BOOST_TEST(scenario.crashing_runs() >= 3U);
+    BOOST_TEST(scenario.runs_after_third_crash() <= allowed_retries);
+    fleet.run(3s);
+    BOOST_TEST(scenario.count_unserved({"sound1", "sound2"}) == 0U);
+}
+
 // Guards against a fleet of many nodes in which not all learn of the crashing request.
 BOOST_AUTO_TEST_CASE(node_of_a_large_fleet_sends_the_crashing_request)
 {
