--- a/src/plugins/quota/quotamessages.h
+++ b/src/plugins/quota/quotamessages.h
@@ -23,8 +23,8 @@
 struct quota_report {
     std::uint64_t sequence = 0;
     std::vector<quota_amount> requested_amounts;
-    /// Time since the node sent the last report that was answered. The node may use its even share if this is long,
-    /// although its reports arrive.
+    /// Time since the node sent the oldest of its reports that have no answer yet; 0 if all have one. The node may use
+    /// its even share if this is long, although its reports arrive.
     duration unanswered_for{0};
 };
 
--- a/src/plugins/quota/quotaservice.h
+++ b/src/plugins/quota/quotaservice.h
@@ -62,7 +62,7 @@
     /// Removes the answered report. Returns false if it is older than the lifetime of tokens, or unknown.
     bool take_answered_report(std::uint64_t sequence);
     void on_answered(std::uint64_t sequence);
-    /// Time since the oldest report was sent after the last one that was answered.
+    /// Time since the oldest report without an answer was sent; 0 if all have one.
     duration unanswered_for() const;
     bool is_coordinator_reachable() const;
     refusal rate_refusal(const organisation_quota& quota) const;
--- a/tests/auto/plugins/quota/tst_quota.cpp
+++ b/tests/auto/plugins/quota/tst_quota.cpp
@@ -95,10 +95,7 @@
             const std::string name = "node-" + std::to_string(i);
             links.push_back(std::make_unique<link>(*this, name));
             directories.push_back(std::make_unique<test_directory>(node_count));
-            auto service =
-                std::make_unique<quota_service>(quota_settings{}, name, timers, *directories.back(), *links.back());
-            service->set_limits({{"school", rate, burst}});
-            nodes.emplace(name, std::move(service));
+            nodes.emplace(name, make_service(i));
         }
         timers.advance(2s);
     }
@@ -109,6 +106,23 @@
         return is_lossy && random.uniform_real() < loss ? 250ms : 0ms;
     }
 
+    /// Replaces the process of a node: the new one knows nothing of the tokens that it has granted.
+    void restart(std::size_t node, duration downtime)
+    {
+        const std::string name = "node-" + std::to_string(node);
+        muted_nodes.insert(name);
+        nodes.at(name) = make_service(node);
+        timers.schedule(downtime, [this, name] { muted_nodes.erase(name); });
+    }
+
+    std::unique_ptr<quota_service> make_service(std::size_t node)
+    {
+        auto service = std::make_unique<quota_service>(quota_settings{}, "node-" + std::to_string(node), timers,
+                                                       *directories[node], *links[node]);
+        service->set_limits({{"school", rate, burst}});
+        return service;
+    }
+
     /// Changes the state of a node. Other nodes learn of it one after the other within the delay.
     void set_state(std::size_t node, member_state state, duration delay)
     {
@@ -205,6 +219,25 @@
     }
 }
 
+// Guards against a coordinator that grants the burst again after a restart, in which its name stays the same.
+BOOST_AUTO_TEST_CASE(a_restarted_coordinator_does_not_grant_the_burst_again)
+{
+    for (const duration period : {1s, 2s, 3s, 4s}) {
+        for (const duration downtime : {100ms, 500ms, 1500ms}) {
+            quota_fleet fleet;
+            fleet.run(5s, rate * 0.2);
+            for (int i = 0; i < 5; ++i) {
+                fleet.run(period, rate * 8);
+                fleet.restart(0, downtime);
+            }
+            fleet.run(4s, rate * 8);
+            BOOST_TEST(fleet.max_in_window() <= max_admitted_in_window,
+                       fleet.max_in_window() << " with restarts each " << to_milliseconds(period) << " ms, downtime "
+                                             << to_milliseconds(downtime) << " ms");
+        }
+    }
+}
+
 // Guards against using the same part of a limit twice: a node took tokens of its even share for requests whose grants
 // were late, and used these grants for later requests.
 BOOST_AUTO_TEST_CASE(late_grants_are_not_used_beside_even_shares)
