Determine the coordinator of the quotas once for each report

The fix of the quotas searched all members for the coordinator once for each organisation of a report and twice for each request of tokens. The callers of send() determine it once now; no time passes in between, so the behaviour is the same. The header of the JSON functions names what it uses.

Found by reading the whole change again.

--- a/src/libs/json/jsonfields.cpp
+++ b/src/libs/json/jsonfields.cpp
@@ -1,5 +1,7 @@
 #include "libs/json/jsonfields.h"
 
+#include <limits>
+
 namespace mulberry {
 
 using nlohmann::json;
--- a/src/libs/json/jsonfields.h
+++ b/src/libs/json/jsonfields.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
--- a/src/plugins/quota/quotaservice.cpp
+++ b/src/plugins/quota/quotaservice.cpp
@@ -160,6 +160,7 @@
     const std::uint32_t token_count = quota.tokens_to_request(m_timers.now());
     if (token_count == 0)
         return;
+    update_coordinator();
     quota_report report;
     add_to_report(report, organisation, quota, token_count);
     send(std::move(report));
@@ -169,7 +170,7 @@
                                   std::uint32_t token_count)
 {
     quota.pending_report_sequence = m_sequence + 1;
-    const auto level = quota.level_of_other(m_timers.now(), update_coordinator());
+    const auto level = quota.level_of_other(m_timers.now(), m_last_coordinator);
     report.requested_amounts.push_back({organisation, token_count, level});
 }
 
@@ -197,8 +198,7 @@
 void quota_service::send(quota_report message)
 {
     message.sequence = ++m_sequence;
-    const std::string& current = update_coordinator();
-    if (current.empty())
+    if (m_last_coordinator.empty())
         return;
     const time_point now = m_timers.now();
     message.unanswered_for = unanswered_for();
@@ -206,8 +206,8 @@
                   [&](const auto& report) { return now - report.second > m_settings.token_lifetime; });
     m_unanswered_reports.emplace(message.sequence, now);
     m_unanswered_since = m_unanswered_since.value_or(now);
-    if (current != m_own_name)
-        return m_control.send(current, control_channel::quota, encode(message));
+    if (m_last_coordinator != m_own_name)
+        return m_control.send(m_last_coordinator, control_channel::quota, encode(message));
     on_grant(m_own_name, m_coordinator.grant(m_own_name, message, m_members.members().size()));
 }
 
--- a/src/plugins/quota/quotaservice.h
+++ b/src/plugins/quota/quotaservice.h
@@ -40,11 +40,13 @@
     std::string coordinator() const;
     /// Returns the current coordinator. Notices a change of it, so that a new term begins before the first grant.
     const std::string& update_coordinator();
-    /// Adds an organisation to a report, with the level that an earlier coordinator has left.
+    /// Adds an organisation to a report to the coordinator that was determined last, with the level that an earlier one
+    /// has left.
     void add_to_report(quota_report& report, const std::string& organisation, organisation_quota& quota,
                        std::uint32_t token_count);
     void send_report();
     void request_tokens(const std::string& organisation, organisation_quota& quota);
+    /// Sends a report to the coordinator that was determined last; update_coordinator() must be called before.
     void send(quota_report message);
     void on_grant(const std::string& from, const quota_grant& grant);
     /// Admits requests that wait as far as there are tokens.
