--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -79,10 +79,10 @@
 
     pid_t pid() const { return m_pid; }
 
-    void start()
+    /// Writes the settings file, as the platform does at each start and whenever the settings change.
+    void write_settings() const
     {
-        const std::string file = m_folder + "/" + name + ".toml";
-        std::ofstream out(file);
+        std::ofstream out(settings_file());
         const auto at = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
         out << "node_name = \"" << name << "\"\nfailure_domain = \"" << zone << "\"\nregion = \"plaines-wilhems\"\n"
             << "service = \"" << service << "\"\nupstream = " << at(target_port) << "callers_listen = " << at(outbound)
@@ -92,11 +92,17 @@
             << "\ndescriptor_limit = " << m_figures.max_fds
             << "\nwithdrawal_limit = \"5000ms\"\ndrain_limit = \"2500ms\"\nstop_limit = \"6s\"\n"
                "retry_ratio = 0.2\nretry_slack = 48\nretry_window = \"10s\"\n";
-        out.close();
+    }
+
+    void start()
+    {
+        write_settings();
+        const std::string file = settings_file();
         const std::string log = m_folder + "/" + name + ".log";
         m_pid = ::fork();
         if (m_pid != 0)
             return;
+        ::setsid();
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(fd, 1);
@@ -145,6 +151,8 @@
     }
 
 private:
+    std::string settings_file() const { return m_folder + "/" + name + ".toml"; }
+
     std::string m_folder;
     deployment_figures m_figures;
     pid_t m_pid = 0;
@@ -229,6 +237,13 @@
         m_server.reset();
     }
 
+    /// The silent target's address is free for another one; its connections stay open and silent.
+    void leave_address()
+    {
+        if (m_server)
+            m_server->stop_listening();
+    }
+
     /// Falls silent: nothing is run, read or answered any more, connections stay as they are.
     void fall_silent() { m_silent = true; }
     bool is_silent() const { return m_silent; }
