--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -201,6 +201,8 @@
     int slots = 100;
     int work_ms = 20;
     std::string answer = std::string(400, 'x');
+    /// What the heartbeats say: draining or ready.
+    std::atomic<bool> is_draining{false};
     /// May answer a request in another way; nothing means the usual one.
     special on_request;
 
@@ -223,6 +225,9 @@
         m_beats = std::thread([this] { send_heartbeats(); });
     }
 
+    /// The time of day of the machine differs by this at the start of the target.
+    void shift_start(int offset_ms) { m_born += offset_ms; }
+
     /// Ends without a word: connections are reset, the port is closed, no more heartbeats.
     void crash()
     {
@@ -251,12 +256,12 @@
     int running() const { return m_running; }
 
     /// One heartbeat; returns whether it was acknowledged.
-    bool send_heartbeat(const std::string& state = "ready")
+    bool send_heartbeat()
     {
         const json body{{"address", "127.0.0.1:" + std::to_string(m_port)},
                         {"born", m_born},
                         {"info", {{"service", service}, {"version", "v1"}, {"zone", "z"}, {"slots", slots}}},
-                        {"status", {{"state", state}, {"sequence", ++m_sequence}, {"cold_remaining", "0ms"}}}};
+                        {"status", {{"state", is_draining ? "draining" : "ready"}, {"sequence", ++m_sequence}, {"cold_remaining", "0ms"}}}};
         const response result = exchange(
             m_control,
             {"PUT", "/-/instances/" + id, {{"Host", "node"}, {"Content-Type", "application/json"}}, body.dump()}, 1000);
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -126,10 +126,12 @@
     }
 
     int fd() const { return m_fd; }
-    void abort() { ::shutdown(m_fd, SHUT_RDWR); }
+    /// Ends reading and writing; a connection that is to be reset sends nothing before its close.
+    void abort() { ::shutdown(m_fd, m_resets ? SHUT_RD : SHUT_RDWR); }
     /// The next close resets the connection.
     void reset_on_close()
     {
+        m_resets = true;
         const linger hard{1, 0};
         ::setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
     }
@@ -256,6 +258,7 @@
     }
 
     int m_fd;
+    std::atomic<bool> m_resets{false};
     std::string m_buffer;
 };
 
