--- a/review/standins-2/endlessbody.cpp
+++ b/review/standins-2/endlessbody.cpp
@@ -1,5 +1,6 @@
-// A target in trouble answers some of its requests with bytes without end. The platform kills a process that exceeds its
-// memory. Looks for requests of other clients of the machine that a sound target was running and that got no answer.
+// A target in trouble answers some of its requests with bytes without end. The platform kills a process that exceeds
+// its memory. Looks for requests of other clients of the machine that a sound target was running and that got no
+// answer.
 #include "fleet.h"
 
 using namespace standin;
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -1,4 +1,5 @@
-// Small blocking HTTP/1.1 pieces for the stand-ins: sockets, a server with a thread per connection, a client connection.
+// Small blocking HTTP/1.1 pieces for the stand-ins: sockets, a server with a thread per connection, a client
+// connection.
 #pragma once
 
 #include <arpa/inet.h>
