--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -92,13 +92,21 @@
     return fd;
 }
 
-/// A port that was free a moment ago.
+/// A port below those that the system gives out by itself, free a moment ago and not returned before.
 inline std::uint16_t free_port()
 {
-    std::uint16_t port = 0;
-    const int fd = listen_on(port);
-    ::close(fd);
-    return port;
+    constexpr int first_port = 20000;
+    constexpr int port_count = 12000;
+    static int offset = static_cast<int>(::getpid()) * 97 % port_count;
+    while (true) {
+        offset = (offset + 1) % port_count;
+        auto port = static_cast<std::uint16_t>(first_port + offset);
+        const int fd = listen_on(port);
+        if (fd < 0)
+            continue;
+        ::close(fd);
+        return port;
+    }
 }
 
 /// One connection with a read buffer. Not thread-safe, but for abort().
