Do not take a reset within an upload for the end of the response

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection.

Cause: a body without a length ends with the connection. The kernel reports a reset once, and the write of the request was told first; the read then saw a plain end. A failed write was handled like a completed one.

Change: a response that ends with its connection fails as truncated while the request is still being written or after its write has failed. A response with a length or in chunks is complete by its own framing and is accepted as before. Ruled out for this rule: asking the kernel for the state of the connection, which is not available in every environment the process runs in.

--- a/src/libs/http1/http1clientconnection.cpp
+++ b/src/libs/http1/http1clientconnection.cpp
@@ -115,13 +115,16 @@
         m_wire_request->content_length(m_wire_request->body().size());
     m_request_sent = true;
     m_write_in_progress = true;
+    m_write_failed = false;
     start_timer(m_request.timeout);
     http::async_write(m_socket, *m_wire_request,
-                      [self = shared_from_this(), id = m_id](const error_code&, std::size_t) {
-                          // A failed write is reported by the read, which may still receive a response that the server
-                          // sent early.
-                          if (self->m_id == id)
-                              self->m_write_in_progress = false;
+                      [self = shared_from_this(), id = m_id](const error_code& error, std::size_t) {
+                          // The end of the request is reported by the read, which may still receive a response that
+                          // the server sent early.
+                          if (self->m_id != id)
+                              return;
+                          self->m_write_in_progress = false;
+                          self->m_write_failed = error.failed();
                       });
     read();
 }
@@ -197,6 +200,10 @@
     }
     if (is_ambiguous_response())
         return fail(http_error::connection_lost);
+    // A body without a length ends with the connection. If the request could not be written completely, the reset that
+    // ended the connection may have been reported to the write, and the read saw an orderly end.
+    if (m_parser->need_eof() && (m_write_in_progress || m_write_failed))
+        return fail(http_error::truncated);
     on_response(m_parser->need_eof());
 }
 
@@ -247,7 +254,7 @@
     // Bytes after a complete response belong to no request, and a connection whose request is still being written
     // cannot take another one; both are closed instead of being reused.
     const bool reusable = !ends_with_connection && m_parser->keep_alive() && m_buffer.size() == 0 &&
-                          !m_write_in_progress && m_idle_limit > duration{0};
+                          !m_write_in_progress && !m_write_failed && m_idle_limit > duration{0};
     auto message = m_parser->release();
     http_response response;
     response.status = static_cast<int>(message.result_int());
--- a/src/libs/http1/http1clientconnection.h
+++ b/src/libs/http1/http1clientconnection.h
@@ -108,6 +108,7 @@
     bool m_connected = false;
     bool m_request_sent = false;
     bool m_write_in_progress = false;
+    bool m_write_failed = false;
     bool m_closed = false;
 };
 
--- a/tests/auto/libs/http1/tst_http1client.cpp
+++ b/tests/auto/libs/http1/tst_http1client.cpp
@@ -222,6 +222,37 @@
     }
 }
 
+// Guards against a cut response that looks complete: the server responds without a length before it has read the
+// request, and the reset of the connection is reported to the write of the request instead of the read.
+BOOST_FIXTURE_TEST_CASE(an_early_response_that_is_reset_is_an_error, test_event_loop)
+{
+    for (const bool has_length : {false, true}) {
+        http1_client client(loop, timers);
+        tcp::acceptor acceptor(loop.context(), {boost::asio::ip::make_address("127.0.0.1"), 0});
+        http_request request;
+        request.method = "POST";
+        request.url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/p";
+        request.body = std::string(std::size_t{32} * 1024 * 1024, 'b');
+        std::string outcome;
+        client.send(std::move(request), [&](leaf::result<http_response> result) {
+            outcome = result ? std::to_string(result->status)
+                             : std::string(to_string(error_of(std::move(result), http_error::too_large)));
+        });
+        tcp::socket peer(loop.context());
+        acceptor.async_accept(peer, [&](const boost::system::error_code&) {
+            const std::string head =
+                has_length ? "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" : "HTTP/1.1 200 OK\r\n\r\n";
+            boost::asio::write(peer, boost::asio::buffer(head + "part"));
+        });
+        timers.schedule(200ms, [&] {
+            peer.set_option(boost::asio::socket_base::linger(true, 0));
+            peer.close();
+        });
+        BOOST_TEST(run_until([&] { return !outcome.empty(); }));
+        BOOST_TEST(outcome == (has_length ? "200" : to_string(http_error::truncated)));
+    }
+}
+
 // Guards against bytes that follow a complete response being read as the next response.
 BOOST_FIXTURE_TEST_CASE(extra_bytes_close_the_connection, client_fixture)
 {
