Reject responses of upstreams and of the store whose head is malformed

What callers saw: a response with status 600 or 999, with a line that begins with a blank, with an unknown transfer coding or with a list of lengths was passed on, the transfer-coded body as if it were the upstream's.

Cause: the parser accepts or repairs these: it joins continued lines, reads any three digits as the status, and takes a body whose transfer coding it does not know up to the end of the connection.

Change: a head is collected and checked before it is parsed: continued lines, bare CR or LF, another protocol. The parsed message must have a status from 100 to 599 but 101, names and values without control characters or blanks in names, and at most one framing. Interim responses with an unknown status are still skipped.

--- a/src/libs/http/httpfields.cpp
+++ b/src/libs/http/httpfields.cpp
@@ -42,7 +42,10 @@
 
 bool is_field_value(std::string_view text)
 {
-    return std::ranges::none_of(text, [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char delete_character = 0x7f;
+    return std::ranges::none_of(
+        text, [](unsigned char c) { return (c < first_printable && c != '\t') || c == delete_character; });
 }
 
 bool is_connection_field(std::string_view name)
@@ -52,13 +55,18 @@
     return std::ranges::any_of(names, [name](std::string_view other) { return is_same_name(name, other); });
 }
 
+bool is_framing_field(std::string_view name)
+{
+    return is_same_name(name, "content-length") || is_same_name(name, "transfer-encoding");
+}
+
 body_framing framing_of(const http_headers& headers)
 {
     body_framing framing = body_framing::none;
     for (const auto& [name, value] : headers) {
-        const bool is_length = is_same_name(name, "content-length");
-        if (!is_length && !is_same_name(name, "transfer-encoding"))
+        if (!is_framing_field(name))
             continue;
+        const bool is_length = is_same_name(name, "content-length");
         if (framing != body_framing::none)
             return body_framing::contradictory;
         const bool digits = !value.empty() && std::ranges::all_of(value, [](char c) { return c >= '0' && c <= '9'; });
--- a/src/libs/http/httpfields.h
+++ b/src/libs/http/httpfields.h
@@ -17,12 +17,15 @@
 /// Returns true for a token as defined by RFC 9110, the syntax of methods and field names.
 bool is_token(std::string_view text);
 
-/// Returns true if the value contains no character that would end its line (CR, LF, NUL).
+/// Returns true if the value contains no control character but tabs. A control character could end the line.
 bool is_field_value(std::string_view text);
 
 /// Returns true for fields that describe one connection or its framing; this process sets them itself.
 bool is_connection_field(std::string_view name);
 
+/// Returns true for the fields that determine where a body ends.
+bool is_framing_field(std::string_view name);
+
 /// How the header fields of a message announce the end of its body.
 enum class body_framing : std::uint8_t {
     none,          // no length and no chunked encoding
--- a/src/libs/http1/http1clientconnection.cpp
+++ b/src/libs/http1/http1clientconnection.cpp
@@ -20,6 +20,14 @@
 // Interim responses (1xx) of one request after which the connection is closed; a server may send them without end.
 constexpr int max_interim_responses = 8;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned first_status = 100;
+constexpr unsigned last_status = 599;
+constexpr unsigned status_switching_protocols = 101;
+// Maximum size of a status line with its header fields.
+constexpr std::size_t max_head_bytes = std::size_t{8} * 1024;
+constexpr std::string_view head_end = "\r\n\r\n";
+// Maximum number of bytes that are read at a time.
+constexpr std::size_t max_read_bytes = std::size_t{64} * 1024;
 // Limit of the bytes that are read ahead of the parser. Chunk extensions and trailers count only here; everything else
 // has limits of its own.
 constexpr std::size_t max_buffered_bytes = std::size_t{128} * 1024;
@@ -39,6 +47,42 @@
     return tcp::endpoint(address, port);
 }
 
+/// Checks what the parser accepts or repairs: a line that continues the previous one, which may be a field whose name
+/// begins with a blank, and line ends other than CR LF. The head may be incomplete.
+bool is_sound_response_head(std::string_view head)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    if (head.substr(0, version.size()) != version.substr(0, std::min(version.size(), head.size())))
+        return false;
+    for (std::size_t i = 0; i < head.size(); ++i) {
+        const char next = i + 1 < head.size() ? head[i + 1] : '\0';
+        if (head[i] == '\n' && (i == 0 || head[i - 1] != '\r' || next == ' ' || next == '\t'))
+            return false;
+        if (head[i] == '\r' && i + 1 < head.size() && next != '\n')
+            return false;
+    }
+    return true;
+}
+
+/// Returns false for a status that no response can have, for field names and values with characters that are not
+/// allowed there, and for contradictory framing.
+bool has_sound_fields(const http::response<http::string_body>& message)
+{
+    const unsigned status = message.result_int();
+    if (status < first_status || status > last_status || status == status_switching_protocols)
+        return false;
+    http_headers framing;
+    for (const auto& field : message) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        const std::string_view value(field.value().data(), field.value().size());
+        if (!is_token(name) || !is_field_value(value))
+            return false;
+        if (is_framing_field(name))
+            framing.emplace_back(name, value);
+    }
+    return framing_of(framing) != body_framing::contradictory;
+}
+
 /// Returns the path and query of "http://host:port/path".
 std::string_view target_of(std::string_view url)
 {
@@ -132,32 +176,83 @@
 void http1_client_connection::read()
 {
     m_parser.emplace();
+    m_parser->eager(true);
     m_parser->body_limit(m_settings.max_response_bytes);
     if (m_request.method == "HEAD")
         m_parser->skip(true);
+    m_head_checked = false;
     release_reserved_bytes();
+    if (m_buffer.size() > 0)
+        return parse();
     read_more();
 }
 
 void http1_client_connection::read_more()
 {
-    http::async_read_some(m_socket, m_buffer, *m_parser,
-                          [self = shared_from_this(), id = m_id](const error_code& error, std::size_t) {
-                              if (!self->m_closed && self->m_id == id)
-                                  self->on_read(error);
-                          });
+    const std::size_t size = beast::read_size(m_buffer, max_read_bytes);
+    if (size == 0)
+        return fail(http_error::too_large);
+    m_socket.async_read_some(m_buffer.prepare(size),
+                             [self = shared_from_this(), id = m_id](const error_code& error, std::size_t count) {
+                                 if (self->m_closed || self->m_id != id)
+                                     return;
+                                 self->m_buffer.commit(count);
+                                 self->on_read(error);
+                             });
 }
 
-void http1_client_connection::on_read(const error_code& error)
+void http1_client_connection::on_read(error_code error)
 {
-    if (!reserve_received_bytes())
-        return fail(http_error::too_large);
-    if (error || m_parser->is_done())
-        return on_message(error);
+    // A body without a length ends with the connection. If the request could not be written completely, the reset that
+    // ended the connection may have been reported to the write, and the read sees an orderly end.
+    const bool may_be_reset = m_write_in_progress || m_write_failed;
+    if (error == boost::asio::error::eof && m_parser->is_header_done() && !may_be_reset) {
+        error = {};
+        m_parser->put_eof(error);
+    }
+    if (error == boost::asio::error::eof && m_buffer.size() > 0)
+        return fail(http_error::truncated);
+    if (error)
+        return on_broken_message();
+    if (m_parser->is_done())
+        return on_message_end();
+    const http_call_id id = m_id;
+    parse();
+    if (m_id != id || m_closed)
+        return;
     if (m_request.stall_timeout > duration{0})
         start_timer(m_request.stall_timeout);
     if (m_request.on_progress)
         m_request.on_progress();
+}
+
+bool http1_client_connection::check_head(bool& is_complete) const
+{
+    const std::string_view received(static_cast<const char*>(m_buffer.data().data()), m_buffer.size());
+    const std::size_t end = received.find(head_end);
+    is_complete = end != std::string_view::npos;
+    return is_sound_response_head(received.substr(0, is_complete ? end + head_end.size() : received.size()));
+}
+
+void http1_client_connection::parse()
+{
+    if (!m_head_checked) {
+        if (!check_head(m_head_checked))
+            return on_broken_message();
+        if (!m_head_checked)
+            return m_buffer.size() > max_head_bytes ? fail(http_error::too_large) : read_more();
+    }
+    error_code error;
+    while (!error && !m_parser->is_done() && m_buffer.size() > 0)
+        m_buffer.consume(m_parser->put(m_buffer.data(), error));
+    if (error == http::error::body_limit || error == http::error::header_limit || !reserve_received_bytes())
+        return fail(http_error::too_large);
+    if (error && error != http::error::need_more)
+        return on_broken_message();
+    if (m_parser->is_header_done() && !has_sound_fields(m_parser->get()))
+        return on_broken_message();
+    if (m_parser->is_done())
+        return on_message_end();
     read_more();
 }
 
@@ -180,14 +275,13 @@
         owner->release_body_bytes(std::exchange(m_reserved_bytes, 0));
 }
 
-void http1_client_connection::on_message(const error_code& error)
+void http1_client_connection::on_broken_message()
+{
+    fail(m_parser->is_header_done() ? http_error::truncated : http_error::connection_lost);
+}
+
+void http1_client_connection::on_message_end()
 {
-    if (error == http::error::body_limit || error == http::error::buffer_overflow)
-        return fail(http_error::too_large);
-    if (error) {
-        const bool response_started = m_parser->is_header_done() || error == http::error::partial_message;
-        return fail(response_started ? http_error::truncated : http_error::connection_lost);
-    }
     if (m_parser->get().result_int() < first_final_status) {
         if (++m_interim_responses > max_interim_responses)
             return fail(http_error::connection_lost);
@@ -200,10 +294,6 @@
     }
     if (is_ambiguous_response())
         return fail(http_error::connection_lost);
-    // A body without a length ends with the connection. If the request could not be written completely, the reset that
-    // ended the connection may have been reported to the write, and the read saw an orderly end.
-    if (m_parser->need_eof() && (m_write_in_progress || m_write_failed))
-        return fail(http_error::truncated);
     on_response(m_parser->need_eof());
 }
 
--- a/src/libs/http1/http1clientconnection.h
+++ b/src/libs/http1/http1clientconnection.h
@@ -69,8 +69,14 @@
     void send_request();
     void read();
     void read_more();
-    void on_read(const error_code& error);
-    void on_message(const error_code& error);
+    void on_read(error_code error);
+    /// Parses what has been received, as far as possible.
+    void parse();
+    /// Returns false for a head that must not be parsed; `is_complete` says whether all of it has been received.
+    bool check_head(bool& is_complete) const;
+    void on_message_end();
+    /// The response is malformed, or its connection has ended before it was complete.
+    void on_broken_message();
     bool reserve_received_bytes();
     void release_reserved_bytes();
     void on_response(bool ends_with_connection);
@@ -109,6 +115,8 @@
     bool m_request_sent = false;
     bool m_write_in_progress = false;
     bool m_write_failed = false;
+    /// True once the head of the current response has been checked.
+    bool m_head_checked = false;
     bool m_closed = false;
 };
 
--- a/tests/auto/libs/http1/tst_http1client.cpp
+++ b/tests/auto/libs/http1/tst_http1client.cpp
@@ -222,6 +222,53 @@
     }
 }
 
+// Guards against passing on a response with a malformed head, or with a body that is not the server's.
+BOOST_FIXTURE_TEST_CASE(responses_with_unsound_heads_are_errors, client_fixture)
+{
+    const std::string rest = "X-Id: r-1\r\nContent-Length: 2\r\n\r\nok";
+    const std::string line = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::string> responses{
+        "HTTP/1.1 000 None\r\n" + rest,
+        "HTTP/1.1 099 Low\r\n" + rest,
+        "HTTP/1.1 101 Switching\r\n" + rest,
+        "HTTP/1.1 600 High\r\n" + rest,
+        "HTTP/1.1 999 High\r\n" + rest,
+        "HTTP/1.1 2000 Long\r\n" + rest,
+        "HTTP/1.1 20 Short\r\n" + rest,
+        "HTTP/1.1\r\n" + rest,
+        "HTTP/2.0 200 OK\r\n" + rest,
+        line + "X Field: v\r\n" + rest,
+        line + "X-Field : v\r\n" + rest,
+        line + "X\x01: v\r\n" + rest,
+        line + "X-Field: a\x01z\r\n" + rest,
+        line + "X-Field: a\x7fz\r\n" + rest,
+        line + "X-Field: a\rz\r\n" + rest,
+        line + "X-Field: a\nY: z\r\n" + rest,
+        line + "X-Field: a\r\n Content-Length: 1\r\n" + rest,
+        line + "X-Field: a\r\n\tfolded\r\n" + rest,
+        line + " X-Field: a\r\n" + rest,
+        line + "no field\r\n" + rest,
+        line + "Content-Length: 3\r\n" + rest,
+        line + "Content-Length: 2, 2\r\nX-Id: r-1\r\n\r\nok",
+        line + "Content-Length: +2\r\nX-Id: r-1\r\n\r\nok",
+        line + "Transfer-Encoding: chunked\r\n" + rest,
+        line + "Transfer-Encoding: gzip\r\nX-Id: r-1\r\n\r\nok",
+        line + "Transfer-Encoding: chunked\r\nX-Id: r-1\r\n\r\n+2\r\nok\r\n0\r\n\r\n",
+        line + "Transfer-Encoding: chunked\r\nX-Id: r-1\r\n\r\n-2\r\nok\r\n0\r\n\r\n",
+        line + "Transfer-Encoding: chunked\r\nX-Id: r-1\r\n\r\n10000000000000002\r\nok\r\n0\r\n\r\n",
+        line + "Transfer-Encoding: chunked\r\nX-Id: r-1\r\n\r\n2\r\nokay\r\n0\r\n\r\n",
+    };
+    for (const std::string& response : responses) {
+        server.script = {response + "CLOSE"};
+        const std::string result = get();
+        BOOST_TEST((result == to_string(http_error::truncated) || result == to_string(http_error::connection_lost)),
+                   response << " was taken as " << result);
+    }
+    // Unknown interim responses are allowed.
+    server.script = {"HTTP/1.1 199 Soon\r\n\r\n" + valid_response};
+    BOOST_TEST(get() == "200 ok");
+}
+
 // Guards against a cut response that looks complete: the server responds without a length before it has read the
 // request, and the reset of the connection is reported to the write of the request instead of the read.
 BOOST_FIXTURE_TEST_CASE(an_early_response_that_is_reset_is_an_error, test_event_loop)
