Reject responses with malformed heads in the libcurl client

Cause: libcurl passes field lines on as they came; names with blanks or control characters, continued lines and statuses such as 000 reached the callers of mulberryd and the decoder of its store.

Change: each field line must have a name that is a token and a value without control characters, and the status must be a final one up to 599 or a known class of interim response.

--- a/src/libs/http/curltransfer.cpp
+++ b/src/libs/http/curltransfer.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+constexpr long first_status = 100;
+constexpr long status_switching_protocols = 101;
+constexpr long first_final_status = 200;
+constexpr long last_status = 599;
+
 std::string_view trim(std::string_view text)
 {
     constexpr std::string_view blanks = " \t\r\n";
@@ -144,19 +149,29 @@
         m_response.headers.clear();
         return true;
     }
-    if (trim(line).empty()) {
-        long status = 0;
-        curl_easy_getinfo(m_handle.get(), CURLINFO_RESPONSE_CODE, &status);
-        m_response.status = static_cast<int>(status);
-        m_header_complete = status >= 200;
-        return true;
-    }
+    if (trim(line).empty())
+        return handle_header_end();
+    // A line that begins with a blank would continue the previous one; its beginning is no field name.
     const std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos)
-        m_response.headers.emplace_back(line.substr(0, colon), trim(line.substr(colon + 1)));
+    const std::string_view name = line.substr(0, colon);
+    const std::string_view value = colon == std::string_view::npos ? std::string_view() : trim(line.substr(colon + 1));
+    if (colon == std::string_view::npos || !is_token(name) || !is_field_value(value))
+        return false;
+    m_response.headers.emplace_back(name, value);
     return true;
 }
 
+bool curl_transfer::handle_header_end()
+{
+    long status = 0;
+    curl_easy_getinfo(m_handle.get(), CURLINFO_RESPONSE_CODE, &status);
+    m_response.status = static_cast<int>(status);
+    m_header_complete = status >= first_final_status && status <= last_status;
+    const bool is_interim =
+        status >= first_status && status < first_final_status && status != status_switching_protocols;
+    return m_header_complete || is_interim;
+}
+
 bool curl_transfer::handle_body_piece(std::string_view piece)
 {
     if (m_on_piece) {
--- a/src/libs/http/curltransfer.h
+++ b/src/libs/http/curltransfer.h
@@ -43,6 +43,7 @@
     void prepare_body();
     void prepare_limits();
     bool handle_field_line(std::string_view line);
+    bool handle_header_end();
     bool handle_body_piece(std::string_view piece);
     std::optional<http_error> error_of(CURLcode code) const;
     bool is_end_announced() const;
