Write no response whose head its caller could misread

Cause: the callers' server wrote any status (000 as well) and any field that it was given; a field with a line break would have been two fields. Between nodes only line breaks were refused.

Change: a response with an impossible status or a field that cannot be written safely is replaced by a 502 of the node's own. Calls between nodes with such fields are malformed.

--- a/src/libs/http1/http1serverconnection.cpp
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "libs/http/httpfields.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -27,6 +28,9 @@
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_header_too_large = 431;
 constexpr unsigned status_unavailable = 503;
+constexpr int status_bad_gateway = 502;
+constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 
@@ -48,6 +52,14 @@
     return hosts == 1 && framing_of(headers) != body_framing::contradictory;
 }
 
+/// Returns whether the response can be written so that every receiver reads it in the same way.
+bool is_writable(const http1_response& response)
+{
+    return response.status >= first_final_status && response.status <= last_status &&
+           std::ranges::all_of(response.headers,
+                               [](const auto& field) { return is_token(field.first) && is_field_value(field.second); });
+}
+
 /// Returns true for a protocol violation, false for the end of the connection.
 bool is_malformed(const boost::system::error_code& error)
 {
@@ -251,6 +263,8 @@
         return;
     m_request = 0;
     release_reserved_bytes();
+    if (!is_writable(response))
+        response = {status_bad_gateway, {}, {}};
     const auto owner = m_owner.lock();
     write(std::move(response), m_keep_alive && owner && !owner->is_closing());
 }
--- a/src/plugins/calls/callcodec.cpp
+++ b/src/plugins/calls/callcodec.cpp
@@ -1,6 +1,7 @@
 #include "plugins/calls/callcodec.h"
 
 #include "libs/base/asyncerror.h"
+#include "libs/http/httpfields.h"
 #include "plugins/calls/messages.pb.h"
 
 #include <algorithm>
@@ -55,7 +56,7 @@
 bool are_valid_headers(const header_list& headers)
 {
     return std::ranges::none_of(headers, [](const auto& header) {
-        return header.first.empty() || has_line_break(header.first) || has_line_break(header.second);
+        return !detail::is_token(header.first) || !detail::is_field_value(header.second);
     });
 }
 
--- a/tests/auto/libs/http1/tst_http1server.cpp
+++ b/tests/auto/libs/http1/tst_http1server.cpp
@@ -127,6 +127,31 @@
     }
 }
 
+// Guards against a response that its receiver would read differently: fields that cannot be written and statuses that
+// no response can have.
+BOOST_FIXTURE_TEST_CASE(unwritable_responses_are_replaced, server_fixture)
+{
+    handler.hold_responses = true;
+    const std::vector<http1_response> responses{
+        {0, {}, "x"},
+        {199, {}, "x"},
+        {600, {}, "x"},
+        {200, {{"X Y", "v"}}, "x"},
+        {200, {{"", "v"}}, "x"},
+        {200, {{"X", "a\r\nY: z"}}, "x"},
+        {200, {{"X", "a\x01"}}, "x"},
+    };
+    for (const http1_response& response : responses) {
+        raw_client client(*this, port);
+        client.send("GET /one HTTP/1.1\r\nHost: a\r\n\r\n");
+        BOOST_TEST(run_until([&] { return handler.pending_callbacks.size() == 1; }));
+        handler.pending_callbacks.begin()->second(response);
+        handler.pending_callbacks.clear();
+        BOOST_TEST(client.received("\r\n\r\n"));
+        BOOST_TEST(client.bytes().starts_with("HTTP/1.1 502"));
+    }
+}
+
 // Guards against processing requests of a caller that has closed its connection.
 BOOST_FIXTURE_TEST_CASE(handler_is_notified_of_a_disconnected_caller, server_fixture)
 {
