Close the connection of a refused caller within the linger limit

What was seen: a client that sent on after a refusal kept its connection for as long as it sent; 40 of 40 were open after 30 s.

Cause: after its last response a connection reads and discards for up to 1 s, so that the caller can read the response. Each read started that time again.

Change: the limit is started once.

Before: tst_heldconnections.refused_callers_that_send_on failed on. After: it passes, and tst_http1server.

--- a/src/libs/http1/http1serverconnection.cpp
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -314,14 +314,22 @@
 {
     error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    // Not restarted by what the caller sends, which may be without end.
     start_timer(linger_limit);
+    discard_input();
+}
+
+void http1_server_connection::discard_input()
+{
+    constexpr std::size_t discarded_bytes = 4096;
     m_buffer.clear();
-    m_socket.async_read_some(m_buffer.prepare(1024), [self = shared_from_this()](const error_code& error, std::size_t) {
-        if (error)
-            return self->close();
-        if (!self->m_closed)
-            self->linger();
-    });
+    m_socket.async_read_some(m_buffer.prepare(discarded_bytes),
+                             [self = shared_from_this()](const error_code& error, std::size_t) {
+                                 if (error)
+                                     return self->close();
+                                 if (!self->m_closed)
+                                     self->discard_input();
+                             });
 }
 
 void http1_server_connection::release_reserved_bytes()
--- a/src/libs/http1/http1serverconnection.h
+++ b/src/libs/http1/http1serverconnection.h
@@ -63,7 +63,9 @@
     void respond(http1_request_id id, http1_response response);
     void reject(unsigned status);
     void write(http1_response response, bool keep_alive);
+    /// Ends the connection but lets the caller read the last response.
     void linger();
+    void discard_input();
     void start_timer(duration limit);
     http1_request take_request();
     void release_reserved_bytes();
