Count a response against a memory budget until its caller has read it

What was seen: callers that do not read long answers took the process over its memory; the platform kills it then, and the requests of all others are lost. Both nodes of a request were affected, the one beside the target first, and mulberryd as well.

Cause: the bytes of a response were counted while it was received and given back when it was complete. From there it was held uncounted, in up to four copies, for up to 30 s. What is counted was the length of bodies, while strings that double and the allocator hold more.

Change: one memory_budget per process: 9/16 of memory_limit_mb in the sidecar, the new setting message_memory (64 MiB) in mulberryd. A reservation grows with the bytes that arrive, at the upstream's connection and at the connection to another node, travels with the body and ends with its last copy. When the budget runs short, the callers that read slowly (no progress for 1 s, or below 64 KiB/s) lose their connections, the one that holds most first. Messages above 64 KiB may use three quarters of the budget, so ordinary ones fit beside them. The store and control messages are not counted. The allocator returns freed blocks of 128 KiB and more to the system at once.

Neither limit is met by a client inside the limits while nothing else goes on: a 64 MiB answer passes two processes of 160 MiB.

Requests are not counted yet; their tests still fail.

--- a/src/app/mulberryd/daemon.cpp
+++ b/src/app/mulberryd/daemon.cpp
@@ -54,6 +54,13 @@
     return limits;
 }
 
+peer_settings make_peer_settings()
+{
+    peer_settings settings;
+    settings.metered_path = call_path;
+    return settings;
+}
+
 /// Returns the port that a server listens on, or logs the error.
 leaf::result<std::uint16_t> port_or_error(const leaf::result<std::uint16_t>& port, const network_endpoint& endpoint)
 {
@@ -81,7 +88,8 @@
 }
 
 daemon::daemon(daemon_settings settings, event_loop& loop)
-    : m_settings(std::move(settings)), m_loop(loop), m_timers(loop), m_random(std::random_device{}())
+    : m_settings(std::move(settings)), m_loop(loop), m_timers(loop), m_random(std::random_device{}()),
+      m_message_memory(std::make_shared<memory_budget>(m_settings.message_memory_bytes))
 {
 }
 
@@ -150,13 +158,13 @@
 leaf::result<std::uint16_t> daemon::start_peers()
 {
     if (m_identity)
-        m_peers = std::make_unique<peer_client>(m_loop, *m_identity);
+        m_peers = std::make_unique<peer_client>(m_loop, *m_identity, make_peer_settings(), m_message_memory);
     m_control = std::make_unique<peer_control_link>(peers(), *this);
     m_transport = std::make_unique<peer_transport>(m_timers, peers(), *this);
     m_router.add(std::string(peer_control_link::path_prefix), *m_control);
     if (!m_identity)
         return std::uint16_t{0};
-    m_peer_server = std::make_unique<peer_server>(m_loop, *m_identity, m_router);
+    m_peer_server = std::make_unique<peer_server>(m_loop, *m_identity, m_router, make_peer_settings());
     auto port = m_peer_server->start(m_settings.peers_listen.address, m_settings.peers_listen.port);
     if (!port) {
         log_error("daemon", "Cannot listen for peers on {}.", to_string(m_settings.peers_listen));
@@ -169,12 +177,13 @@
 {
     curl_client_settings client;
     client.max_connections_per_host = m_settings.upstream_connections;
-    m_http = std::make_unique<curl_http_client>(m_loop, client);
+    m_upstream_http = std::make_unique<curl_http_client>(m_loop, client, m_message_memory);
+    m_store_http = std::make_unique<curl_http_client>(m_loop);
     if (m_settings.store_in_memory) {
         m_store = std::make_unique<memory_store>(m_timers);
         return;
     }
-    m_store = std::make_unique<etcd_store>(*m_http, m_timers,
+    m_store = std::make_unique<etcd_store>(*m_store_http, m_timers,
                                            etcd_store_settings{m_settings.store_endpoints, m_settings.store_timeout});
 }
 
@@ -217,7 +226,7 @@
     settings.drain.limit = m_settings.drain_limit;
     m_node = std::make_unique<node>(std::move(settings),
                                     node_environment{m_timers, m_random, m_secure_random, *m_control, *m_store,
-                                                     *m_transport, *m_http, m_recorder, &current_wall_time});
+                                                     *m_transport, *m_upstream_http, m_recorder, &current_wall_time});
     m_node->members().on_superseded([this](std::uint64_t incarnation) {
         log_error("daemon", "Another daemon uses the node name {} with the newer incarnation {}; stopping this one.",
                   m_settings.node_name, incarnation);
@@ -243,7 +252,7 @@
 leaf::result<std::uint16_t> daemon::start_port(std::unique_ptr<http1_server>& server, http1_handler& handler,
                                                const network_endpoint& endpoint)
 {
-    server = std::make_unique<http1_server>(m_loop, handler, caller_limits(m_settings));
+    server = std::make_unique<http1_server>(m_loop, handler, caller_limits(m_settings), m_message_memory);
     return port_or_error(server->start(endpoint.address, endpoint.port), endpoint);
 }
 
--- a/src/app/mulberryd/daemon.h
+++ b/src/app/mulberryd/daemon.h
@@ -83,7 +83,10 @@
     std::unique_ptr<peer_client> m_peers;
     std::unique_ptr<peer_control_link> m_control;
     std::unique_ptr<peer_transport> m_transport;
-    std::unique_ptr<curl_http_client> m_http;
+    /// Limits what is held for callers, the upstream and other nodes.
+    std::shared_ptr<memory_budget> m_message_memory;
+    std::unique_ptr<curl_http_client> m_upstream_http;
+    std::unique_ptr<curl_http_client> m_store_http;
     std::unique_ptr<key_value_store> m_store;
 
     daemon_metrics m_metrics;
--- a/src/app/mulberryd/main.cpp
+++ b/src/app/mulberryd/main.cpp
@@ -1,6 +1,7 @@
 #include "app/mulberryd/daemon.h"
 #include "libs/base/asyncerror.h"
 #include "libs/base/log.h"
+#include "libs/memory/allocator.h"
 
 #include <csignal>
 #include <cstdio>
@@ -43,6 +44,7 @@
 int run(const mulberry::daemon_settings& settings)
 {
     mulberry::set_log_level(settings.level);
+    mulberry::return_freed_memory_to_system();
     mulberry::event_loop loop;
     mulberry::daemon daemon(settings, loop);
     const bool started = boost::leaf::try_handle_all(
--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -13,12 +13,11 @@
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
-// The memory limit is divided by this number to obtain the limit for bodies of callers' requests. The rest is needed
-// for bodies of calls from other nodes and for the copies that are made while a request is forwarded.
+// The memory limit is divided by this number to obtain the limit for bodies of callers' requests.
 constexpr std::size_t body_memory_divisor = 8;
-// The memory limit is divided by this number to obtain the limit for bodies of the upstream's responses that are being
-// received.
-constexpr std::size_t response_memory_divisor = 2;
+// Share of the memory limit for messages that are received, wait or have not been read. The rest is for the program,
+// its connections and its tables. A message of 64 MiB fits on a VM of 160 MiB.
+constexpr double message_memory_share = 0.5625;
 constexpr std::size_t max_peer_message_bytes = std::size_t{68} * 1024 * 1024;
 // The descriptor limit is divided by this number to obtain the limit for callers' connections. The rest is needed for
 // the upstream, other daemons and the store.
@@ -36,10 +35,16 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
+std::shared_ptr<memory_budget> make_message_memory(const sidecar_settings& settings)
+{
+    const double bytes = static_cast<double>(settings.memory_limit_bytes) * message_memory_share;
+    return std::make_shared<memory_budget>(static_cast<std::size_t>(bytes));
+}
+
 http1_client_settings upstream_client_settings(const sidecar_settings& daemon_settings)
 {
     http1_client_settings settings;
-    settings.max_receiving_bytes = daemon_settings.memory_limit_bytes / response_memory_divisor;
+    settings.max_receiving_bytes = daemon_settings.memory_limit_bytes;
     return settings;
 }
 
@@ -68,6 +73,7 @@
 {
     peer_settings settings;
     settings.max_message_bytes = max_peer_message_bytes;
+    settings.metered_path = call_path;
     settings.ping_after = std::chrono::milliseconds(700);
     settings.connect_timeout = std::chrono::milliseconds(700);
     return settings;
@@ -132,7 +138,10 @@
 
 class sidecar_daemon::metrics_port final : public http1_handler {
 public:
-    metrics_port(const sidecar_node& node, daemon_metrics& metrics) : m_node(node), m_metrics(metrics) {}
+    metrics_port(const sidecar_node& node, const memory_budget& message_memory, daemon_metrics& metrics)
+        : m_node(node), m_message_memory(message_memory), m_metrics(metrics)
+    {
+    }
 
     void on_request(http1_request_id /*id*/, http1_request /*request*/, response_callback done) override
     {
@@ -157,18 +166,28 @@
         m_metrics.set_gauge("mulberry_upstream_rate_limit",
                             "Requests per second that this node's upstream accepts; -1 if it names no limit.",
                             guard.upstream_rate_limit().value_or(-1));
+        m_metrics.set_gauge("mulberry_message_memory_bytes", "Memory in use for messages.",
+                            static_cast<double>(m_message_memory.in_use()));
+        m_metrics.set_gauge("mulberry_message_memory_refused", "Messages for which no memory was left.",
+                            static_cast<double>(m_message_memory.refused()));
+        m_metrics.set_gauge("mulberry_message_memory_reclaimed",
+                            "Connections of slow callers that were closed because memory was short.",
+                            static_cast<double>(m_message_memory.reclaimed()));
     }
 
     const sidecar_node& m_node;
+    const memory_budget& m_message_memory;
     daemon_metrics& m_metrics;
 };
 
 sidecar_daemon::sidecar_daemon(const sidecar_settings& settings, platform_adapter& platform, event_loop& loop)
     : m_settings(settings), m_loop(loop), m_timers(loop), m_random(m_secure_random.next()),
-      m_observer(m_metrics, [this] { return view_age(); }), m_store_http(loop, m_timers, store_client_settings()),
-      m_upstream_http(loop, m_timers, upstream_client_settings(settings)),
+      m_observer(m_metrics, [this] { return view_age(); }), m_message_memory(make_message_memory(settings)),
+      m_store_http(loop, m_timers, store_client_settings()),
+      m_upstream_http(loop, m_timers, upstream_client_settings(settings), m_message_memory),
       m_store(platform.make_store(m_store_http, m_timers)),
-      m_security(std::make_shared<plain_security>(settings.node_name)), m_peers(loop, m_security, make_peer_settings()),
+      m_security(std::make_shared<plain_security>(settings.node_name)),
+      m_peers(loop, m_security, make_peer_settings(), m_message_memory),
       m_peer_server(loop, m_security, m_router, make_peer_settings()), m_control(m_peers, *this),
       m_transport(m_timers, m_peers, *this),
       m_relayed_store(make_relay_settings(platform), settings.node_name, settings.location, *m_store, m_peers, *this,
@@ -198,8 +217,8 @@
         });
     m_readiness_port = std::make_unique<readiness_port>(*m_node, platform);
     m_announcement_port = std::make_unique<announcement_port>(*m_node, platform);
-    m_metrics_port = std::make_unique<metrics_port>(*m_node, m_metrics);
-    m_callers = std::make_unique<http1_server>(loop, *m_caller_port);
+    m_metrics_port = std::make_unique<metrics_port>(*m_node, *m_message_memory, m_metrics);
+    m_callers = std::make_unique<http1_server>(loop, *m_caller_port, http1_limits{}, m_message_memory);
     m_readiness = std::make_unique<http1_server>(loop, *m_readiness_port, local_limits());
     m_announcements = std::make_unique<http1_server>(loop, *m_announcement_port, local_limits());
     m_metrics_server = std::make_unique<http1_server>(loop, *m_metrics_port, local_limits());
--- a/src/app/sidecar/sidecardaemon.h
+++ b/src/app/sidecar/sidecardaemon.h
@@ -58,6 +58,8 @@
     seeded_random_source m_random;
     daemon_metrics m_metrics;
     decision_logger m_observer;
+    /// Limits what is held for callers, upstreams and other nodes. The store and control messages are not counted.
+    std::shared_ptr<memory_budget> m_message_memory;
     http1_client m_store_http;
     http1_client m_upstream_http;
     std::unique_ptr<key_value_store> m_store;
--- a/src/app/transport/peertransport.cpp
+++ b/src/app/transport/peertransport.cpp
@@ -15,8 +15,13 @@
 
 leaf::result<call_response> to_call_response(leaf::result<message_body> result)
 {
-    if (result)
-        return decode_call_response(*result);
+    if (result) {
+        auto response = decode_call_response(*result);
+        // The response has arrived, so it is not given up for its fields.
+        if (response)
+            static_cast<void>(result->reserve_more(held_bytes(response->headers)));
+        return response;
+    }
     const peer_error error = error_of(std::move(result), peer_error::connection_lost);
     return captured_error<call_response>(call_error_of(error));
 }
--- a/src/libs/documents/daemonsettings.cpp
+++ b/src/libs/documents/daemonsettings.cpp
@@ -161,6 +161,9 @@
     fields.push_back({{"log_level", detail::value_kind::text, "debug, info, warning, error or off", false, "info",
                        "Log lines below this level are not written."},
                       set_log_level_field});
+    fields.push_back(detail::size_field(
+        "message_memory", "64MiB", &settings::message_memory_bytes, 4 * mebibyte, 4096 * mebibyte,
+        "Memory for requests and responses that are received, wait or have not been read by their receivers."));
     fields.push_back(detail::size_field("account_memory", "16MiB", &settings::account_memory_bytes, mebibyte,
                                         1024 * mebibyte, "Memory for decision records."));
     fields.push_back(detail::size_field("once_memory", "8MiB", &settings::idempotency_memory_bytes, 64ULL * 1024,
--- a/src/libs/documents/daemonsettings.h
+++ b/src/libs/documents/daemonsettings.h
@@ -79,6 +79,7 @@
     std::uint32_t caller_connections = 0;
     std::uint32_t upstream_connections = 0;
     std::size_t header_cap_bytes = 0;
+    std::size_t message_memory_bytes = std::size_t{64} * 1024 * 1024;
     std::size_t account_memory_bytes = 0;
     std::size_t idempotency_memory_bytes = 0;
 
--- a/src/libs/http/curlhttpclient.cpp
+++ b/src/libs/http/curlhttpclient.cpp
@@ -17,8 +17,8 @@
 /// The transfers of one client. Shared, so that tasks queued in the event loop notice the end of the client.
 class curl_http_client::worker : public std::enable_shared_from_this<worker> {
 public:
-    worker(event_loop& loop, const curl_client_settings& settings)
-        : m_loop(loop), m_settings(settings), m_multi(make_multi()),
+    worker(event_loop& loop, const curl_client_settings& settings, std::shared_ptr<memory_budget> memory)
+        : m_loop(loop), m_settings(settings), m_memory(std::move(memory)), m_multi(make_multi()),
           m_sockets(loop, m_multi.get(), [this] { process_finished_transfers(); })
     {
         curl_multi_setopt(m_multi.get(), CURLMOPT_MAX_HOST_CONNECTIONS, m_settings.max_connections_per_host);
@@ -48,7 +48,8 @@
         curl_transfer::piece_handler piece_callback;
         if (is_stream)
             piece_callback = [this, id](std::string_view piece) { post_piece(id, std::string(piece)); };
-        add_transfer(std::make_unique<curl_transfer>(id, std::move(request), m_settings, std::move(piece_callback)));
+        add_transfer(std::make_unique<curl_transfer>(id, std::move(request), m_settings, std::move(piece_callback),
+                                                     memory_reservation(m_memory)));
     }
 
     void cancel(http_call_id id)
@@ -137,14 +138,16 @@
 
     event_loop& m_loop;
     curl_client_settings m_settings;
+    std::shared_ptr<memory_budget> m_memory;
     std::unordered_map<http_call_id, call_record> m_calls;
     std::unique_ptr<CURLM, multi_deleter> m_multi;
     detail::curl_sockets m_sockets;
     std::unordered_map<http_call_id, std::unique_ptr<curl_transfer>> m_transfers;
 };
 
-curl_http_client::curl_http_client(event_loop& loop, const curl_client_settings& settings)
-    : m_worker(std::make_shared<worker>(loop, settings))
+curl_http_client::curl_http_client(event_loop& loop, const curl_client_settings& settings,
+                                   std::shared_ptr<memory_budget> memory)
+    : m_worker(std::make_shared<worker>(loop, settings, std::move(memory)))
 {
 }
 
--- a/src/libs/http/curlhttpclient.h
+++ b/src/libs/http/curlhttpclient.h
@@ -32,7 +32,10 @@
 /// not followed.
 class curl_http_client final : public streaming_http_client {
 public:
-    explicit curl_http_client(event_loop& loop, const curl_client_settings& settings = {});
+    /// Responses count against the budget, if there is one, until the last copy of their body is released. A response
+    /// for which no memory is left fails as too_large.
+    explicit curl_http_client(event_loop& loop, const curl_client_settings& settings = {},
+                              std::shared_ptr<memory_budget> memory = nullptr);
     ~curl_http_client() override;
 
     http_call_id send(http_request request, http_callback done) override;
--- a/src/libs/http/curltransfer.cpp
+++ b/src/libs/http/curltransfer.cpp
@@ -2,6 +2,7 @@
 
 #include "libs/base/asyncerror.h"
 #include "libs/http/httpfields.h"
+#include "libs/memory/receivebuffer.h"
 
 #include <algorithm>
 
@@ -52,9 +53,9 @@
 };
 
 curl_transfer::curl_transfer(http_call_id id, http_request request, const curl_client_settings& settings,
-                             piece_handler on_piece)
+                             piece_handler on_piece, memory_reservation reservation)
     : m_id(id), m_request(std::move(request)), m_settings(settings), m_on_piece(std::move(on_piece)),
-      m_handle(curl_easy_init())
+      m_handle(curl_easy_init()), m_reservation(std::move(reservation))
 {
 }
 
@@ -178,10 +179,12 @@
         m_on_piece(piece);
         return true;
     }
-    if (m_body.size() + piece.size() > m_settings.max_response_bytes) {
+    const std::size_t received = m_body.size() + piece.size();
+    if (received > m_settings.max_response_bytes || !m_reservation.resize(received)) {
         m_limit_exceeded = true;
         return false;
     }
+    make_room(m_body, piece.size(), m_settings.max_response_bytes);
     m_body += piece;
     return true;
 }
@@ -211,7 +214,7 @@
 {
     if (const std::optional<http_error> error = error_of(code))
         return captured_error<http_response>(*error);
-    m_response.body = message_body(std::move(m_body));
+    m_response.body = message_body(std::move(m_body), std::move(m_reservation));
     return std::move(m_response);
 }
 
--- a/src/libs/http/curltransfer.h
+++ b/src/libs/http/curltransfer.h
@@ -15,7 +15,8 @@
     /// Receives the pieces of the body; if it is null, the body is collected in the response.
     using piece_handler = std::function<void(std::string_view)>;
 
-    curl_transfer(http_call_id id, http_request request, const curl_client_settings& settings, piece_handler on_piece);
+    curl_transfer(http_call_id id, http_request request, const curl_client_settings& settings, piece_handler on_piece,
+                  memory_reservation reservation);
     curl_transfer(const curl_transfer&) = delete;
     curl_transfer& operator=(const curl_transfer&) = delete;
     ~curl_transfer() = default;
@@ -56,6 +57,7 @@
     std::unique_ptr<curl_slist, list_deleter> m_field_list;
     http_response m_response;
     std::string m_body;
+    memory_reservation m_reservation;
     std::size_t m_header_bytes = 0;
     bool m_header_complete = false;
     bool m_limit_exceeded = false;
--- a/src/libs/http/httpfields.cpp
+++ b/src/libs/http/httpfields.cpp
@@ -28,6 +28,16 @@
     return found == headers.end() ? std::string_view() : std::string_view(found->second);
 }
 
+std::size_t held_bytes(const http_headers& headers)
+{
+    // Two strings of a vector, and a node of the library that reads or writes the message.
+    constexpr std::size_t field_overhead_bytes = 160;
+    std::size_t bytes = 0;
+    for (const auto& [name, value] : headers)
+        bytes += name.size() + value.size() + field_overhead_bytes;
+    return bytes;
+}
+
 namespace detail {
 
 bool is_same_name(std::string_view left, std::string_view right)
--- a/src/libs/http/httpfields.h
+++ b/src/libs/http/httpfields.h
@@ -9,6 +9,10 @@
 /// Returns the value of the first field with this name, compared case-insensitively; empty if there is none.
 std::string_view find_header(const http_headers& headers, std::string_view name);
 
+/// Estimate of the memory that header fields occupy while their message is held, which is many times their length for
+/// short fields.
+std::size_t held_bytes(const http_headers& headers);
+
 namespace detail {
 
 /// Compares ASCII text case-insensitively.
--- a/src/libs/http1/http1client.cpp
+++ b/src/libs/http1/http1client.cpp
@@ -27,8 +27,9 @@
 class http1_client::implementation final : public detail::http1_client_connection_owner,
                                            public std::enable_shared_from_this<implementation> {
 public:
-    implementation(event_loop& loop, timer_service& timers, const http1_client_settings& settings)
-        : m_loop(loop), m_timers(timers), m_settings(settings)
+    implementation(event_loop& loop, timer_service& timers, const http1_client_settings& settings,
+                   std::shared_ptr<memory_budget> memory)
+        : m_loop(loop), m_timers(timers), m_settings(settings), m_memory(std::move(memory))
     {
     }
 
@@ -87,6 +88,8 @@
 
     void on_connected() override { ++m_connections_opened; }
 
+    std::shared_ptr<memory_budget> memory() const override { return m_memory; }
+
     bool reserve_body_bytes(std::size_t bytes) override
     {
         if (m_receiving_bytes + bytes > m_settings.max_receiving_bytes)
@@ -140,6 +143,7 @@
     event_loop& m_loop;
     timer_service& m_timers;
     http1_client_settings m_settings;
+    std::shared_ptr<memory_budget> m_memory;
     std::unordered_map<http_call_id, open_request> m_open_requests;
     std::map<std::string, connection_list, std::less<>> m_idle_connections;
     http_call_id m_last_id = 0;
@@ -147,8 +151,9 @@
     std::uint64_t m_connections_opened = 0;
 };
 
-http1_client::http1_client(event_loop& loop, timer_service& timers, const http1_client_settings& settings)
-    : m_implementation(std::make_shared<implementation>(loop, timers, settings))
+http1_client::http1_client(event_loop& loop, timer_service& timers, const http1_client_settings& settings,
+                           std::shared_ptr<memory_budget> memory)
+    : m_implementation(std::make_shared<implementation>(loop, timers, settings, std::move(memory)))
 {
 }
 
--- a/src/libs/http1/http1client.h
+++ b/src/libs/http1/http1client.h
@@ -31,7 +31,10 @@
 /// URLs name servers by numeric address, as in "http://10.0.0.1:80/path".
 class http1_client final : public http_client {
 public:
-    http1_client(event_loop& loop, timer_service& timers, const http1_client_settings& settings = {});
+    /// Responses count against the budget, if there is one, until the last copy of their body is released. A response
+    /// for which no memory is left fails as too_large.
+    http1_client(event_loop& loop, timer_service& timers, const http1_client_settings& settings = {},
+                 std::shared_ptr<memory_budget> memory = nullptr);
     /// Closes all connections; callbacks of open requests are never called.
     ~http1_client() override;
 
--- a/src/libs/http1/http1clientconnection.cpp
+++ b/src/libs/http1/http1clientconnection.cpp
@@ -99,6 +99,8 @@
     : m_socket(context), m_timers(timers), m_settings(settings), m_owner(std::move(owner)), m_server(std::move(server)),
       m_timer(context.get_executor()), m_buffer(max_buffered_bytes), m_idle_limit(settings.idle_timeout)
 {
+    if (const auto locked_owner = m_owner.lock())
+        m_reservation = memory_reservation(locked_owner->memory());
 }
 
 void http1_client_connection::send(http_call_id id, http_request request)
@@ -169,6 +171,7 @@
                               return;
                           self->m_write_in_progress = false;
                           self->m_write_failed = error.failed();
+                          self->m_request.body = {};
                       });
     read();
 }
@@ -259,6 +262,8 @@
 bool http1_client_connection::reserve_received_bytes()
 {
     const std::size_t received = m_parser->get().body().size();
+    if (!m_reservation.resize(m_buffer.size() + received))
+        return false;
     const auto owner = m_owner.lock();
     if (!owner || received <= m_reserved_bytes)
         return true;
@@ -270,6 +275,7 @@
 
 void http1_client_connection::release_reserved_bytes()
 {
+    m_reservation.release();
     const auto owner = m_owner.lock();
     if (owner && m_reserved_bytes > 0)
         owner->release_body_bytes(std::exchange(m_reserved_bytes, 0));
@@ -350,7 +356,9 @@
     response.status = static_cast<int>(message.result_int());
     for (const auto& field : message)
         response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    response.body = message_body(std::move(message.body()));
+    // The response has arrived, so it is not given up for its fields.
+    static_cast<void>(m_reservation.resize(message.body().size() + held_bytes(response.headers)));
+    response.body = message_body(std::move(message.body()), std::move(m_reservation));
     finish(std::move(response), reusable);
 }
 
--- a/src/libs/http1/http1clientconnection.h
+++ b/src/libs/http1/http1clientconnection.h
@@ -33,6 +33,8 @@
     /// An idle connection was closed, by its time limit or by the server.
     virtual void on_idle_connection_closed(http1_client_connection& connection) = 0;
     virtual void on_connected() = 0;
+    /// Null if memory is not limited.
+    virtual std::shared_ptr<memory_budget> memory() const = 0;
     /// Reserves memory for a part of a response body; returns false if max_receiving_bytes would be exceeded.
     virtual bool reserve_body_bytes(std::size_t bytes) = 0;
     virtual void release_body_bytes(std::size_t bytes) = 0;
@@ -112,6 +114,7 @@
     int m_skipped_responses = 0;
     int m_interim_responses = 0;
     std::size_t m_reserved_bytes = 0;
+    memory_reservation m_reservation;
     bool m_connected = false;
     bool m_request_sent = false;
     bool m_write_in_progress = false;
--- a/src/libs/http1/http1server.cpp
+++ b/src/libs/http1/http1server.cpp
@@ -21,10 +21,12 @@
 } // namespace
 
 class http1_server::implementation final : public detail::http1_connection_owner,
+                                           public memory_reclaimer,
                                            public std::enable_shared_from_this<implementation> {
 public:
-    implementation(event_loop& loop, http1_handler& handler, const http1_limits& limits)
-        : m_loop(loop), m_handler(handler), m_limits(limits),
+    implementation(event_loop& loop, http1_handler& handler, const http1_limits& limits,
+                   std::shared_ptr<memory_budget> memory)
+        : m_loop(loop), m_handler(handler), m_limits(limits), m_memory(std::move(memory)),
           m_listener(loop, [this](tcp::socket socket) { accept_connection(std::move(socket)); })
     {
     }
@@ -71,6 +73,27 @@
     bool is_closing() const override { return m_closing; }
     http1_request_id next_request_id() override { return ++m_last_id; }
 
+    void join_budget()
+    {
+        if (m_memory)
+            m_memory->add_reclaimer(weak_from_this());
+    }
+
+    /// Closes the slow connection that holds most.
+    bool reclaim() override
+    {
+        const auto now = detail::transfer_progress::clock::now();
+        std::shared_ptr<http1_server_connection> chosen;
+        for (const auto& connection : m_connections) {
+            if (connection->is_slow(now) && (!chosen || connection->held_bytes() > chosen->held_bytes()))
+                chosen = connection;
+        }
+        if (!chosen || chosen->held_bytes() == 0)
+            return false;
+        chosen->close();
+        return true;
+    }
+
     bool reserve_body_bytes(std::size_t bytes) override
     {
         if (m_buffered_body_bytes + bytes > m_limits.max_buffered_body_bytes)
@@ -111,6 +134,7 @@
     event_loop& m_loop;
     http1_handler& m_handler;
     http1_limits m_limits;
+    std::shared_ptr<memory_budget> m_memory;
     tcp_listener m_listener;
     std::set<std::shared_ptr<http1_server_connection>> m_connections;
     http1_request_id m_last_id = 0;
@@ -119,9 +143,11 @@
     std::function<void()> m_on_stopped;
 };
 
-http1_server::http1_server(event_loop& loop, http1_handler& handler, const http1_limits& limits)
-    : m_implementation(std::make_shared<implementation>(loop, handler, limits))
+http1_server::http1_server(event_loop& loop, http1_handler& handler, const http1_limits& limits,
+                           std::shared_ptr<memory_budget> memory)
+    : m_implementation(std::make_shared<implementation>(loop, handler, limits, std::move(memory)))
 {
+    m_implementation->join_budget();
 }
 
 http1_server::~http1_server()
--- a/src/libs/http1/http1server.h
+++ b/src/libs/http1/http1server.h
@@ -57,8 +57,8 @@
     duration idle_timeout{std::chrono::seconds(15)};
     /// Maximum time for receiving the body of a request, and for the caller to read a response.
     duration transfer_timeout{std::chrono::seconds(30)};
-    /// Maximum total size in bytes of the request bodies that are buffered at a time over all connections; further
-    /// requests with a body are refused with 503.
+    /// Maximum total size in bytes of the request bodies that are being received or handled at a time over all
+    /// connections; a body that exceeds it is refused with 503. Announced bytes count only once they have arrived.
     std::size_t max_buffered_body_bytes = std::size_t{64} * 1024 * 1024;
     /// Maximum number of open connections; further ones are closed at once.
     std::size_t max_connections = 2000;
@@ -67,7 +67,11 @@
 /// HTTP/1.1 server for unencrypted connections. Each connection has at most one request in progress.
 class http1_server {
 public:
-    http1_server(event_loop& loop, http1_handler& handler, const http1_limits& limits = {});
+    /// What the server holds for its callers counts against the budget, if there is one: bytes that have been received,
+    /// header fields, and responses until their callers have read them. When the budget runs short, callers that send
+    /// or read slowly lose their connections; a request for which no memory is left is refused with 503.
+    http1_server(event_loop& loop, http1_handler& handler, const http1_limits& limits = {},
+                 std::shared_ptr<memory_budget> memory = nullptr);
     http1_server(const http1_server&) = delete;
     http1_server& operator=(const http1_server&) = delete;
     /// Closes all connections.
--- a/src/libs/http1/http1serverconnection.cpp
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -96,40 +96,47 @@
         return close();
     m_parser.reset();
     if (m_buffer.size() > 0)
-        return read_header();
+        return begin_head();
     m_buffer.shrink_to_fit();
-    m_is_idle = true;
+    m_phase = phase::idle;
     start_timer(owner->limits().idle_timeout + idle_margin);
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
-        self->m_is_idle = false;
         if (error)
             return self->close();
         if (!self->m_closed)
-            self->read_header();
+            self->begin_head();
     });
 }
 
-void http1_server_connection::read_header()
+void http1_server_connection::begin_head()
 {
     const auto owner = m_owner.lock();
     if (!owner)
         return close();
     const http1_limits& limits = owner->limits();
+    m_phase = phase::reading_head;
     m_buffer.max_size(limits.max_header_bytes + max_read_ahead_bytes);
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     m_parser->body_limit(limits.max_body_bytes);
     start_timer(limits.header_timeout);
-    http::async_read_header(m_socket, m_buffer, *m_parser,
-                            [self = shared_from_this()](const error_code& error, std::size_t) {
-                                if (self->m_closed)
-                                    return;
-                                if (error == http::error::header_limit || error == http::error::buffer_overflow)
-                                    return self->reject(status_header_too_large);
-                                if (error)
-                                    return self->handle_read_error(error);
-                                self->on_header();
-                            });
+    read_head();
+}
+
+void http1_server_connection::read_head()
+{
+    http::async_read_some(m_socket, m_buffer, *m_parser,
+                          [self = shared_from_this()](const error_code& error, std::size_t) {
+                              if (self->m_closed)
+                                  return;
+                              if (error == http::error::header_limit || error == http::error::buffer_overflow)
+                                  return self->reject(status_header_too_large);
+                              if (error)
+                                  return self->handle_read_error(error);
+                              if (!self->m_parser->is_header_done())
+                                  return self->read_head();
+                              self->on_header();
+                          });
 }
 
 void http1_server_connection::handle_read_error(const error_code& error)
@@ -173,6 +180,7 @@
         return close();
     if (m_parser->is_done())
         return dispatch_request();
+    m_phase = phase::reading_body;
     start_timer(owner->limits().transfer_timeout);
     read_more_body();
 }
@@ -227,6 +235,7 @@
         return close();
     m_timer.cancel();
     m_keep_alive = m_parser->get().keep_alive();
+    m_phase = phase::handling;
     const http1_request_id id = owner->next_request_id();
     m_request = id;
     // Started before the handler is called, because the handler may respond within the call.
@@ -282,8 +291,9 @@
     const auto owner = m_owner.lock();
     if (!owner)
         return close();
-    m_response = std::make_shared<wire_response>();
-    wire_response& message = *m_response;
+    m_phase = phase::writing;
+    m_stays_open = keep_alive;
+    wire_response& message = m_response.emplace();
     message.version(11);
     message.result(static_cast<unsigned>(response.status));
     for (const auto& [name, value] : response.headers)
@@ -296,23 +306,39 @@
     message.body() = {m_response_body.data(), m_response_body.size()};
     if (!keep_alive)
         message.set(http::field::connection, "close");
+    m_serializer.emplace(message);
+    m_progress.start(transfer_progress::clock::now());
     start_timer(owner->limits().transfer_timeout);
-    http::async_write(m_socket, message, [self = shared_from_this(), keep_alive](const error_code& error, std::size_t) {
-        self->m_response.reset();
-        self->m_response_body = {};
-        if (error)
-            return self->close();
-        if (self->m_closed)
-            return;
-        if (keep_alive)
-            return self->await_request();
-        self->linger();
-    });
+    write_more();
+}
+
+void http1_server_connection::write_more()
+{
+    http::async_write_some(m_socket, *m_serializer,
+                           [self = shared_from_this()](const error_code& error, std::size_t count) {
+                               if (error || self->m_closed)
+                                   return self->close();
+                               if (self->m_serializer->is_done())
+                                   return self->on_written();
+                               self->m_progress.add(count, transfer_progress::clock::now());
+                               self->write_more();
+                           });
+}
+
+void http1_server_connection::on_written()
+{
+    m_serializer.reset();
+    m_response.reset();
+    m_response_body = {};
+    if (m_stays_open)
+        return await_request();
+    linger();
 }
 
 void http1_server_connection::linger()
 {
     error_code ignored;
+    m_phase = phase::lingering;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     // Not restarted by what the caller sends, which may be without end.
     start_timer(linger_limit);
@@ -343,10 +369,15 @@
 {
     error_code error;
     const bool has_bytes = m_socket.available(error) > 0 || m_buffer.size() > 0;
-    if (m_is_idle && !has_bytes)
+    if (m_phase == phase::idle && !has_bytes)
         close();
 }
 
+bool http1_server_connection::is_slow(transfer_progress::clock::time_point now) const
+{
+    return m_phase == phase::writing && m_progress.is_slow(now);
+}
+
 void http1_server_connection::close()
 {
     if (m_closed)
@@ -356,6 +387,8 @@
     error_code ignored;
     m_socket.close(ignored);
     release_reserved_bytes();
+    // An operation that is still queued does not use the bytes any more, because the socket is closed.
+    m_response_body = {};
     const auto owner = m_owner.lock();
     if (!owner)
         return;
--- a/src/libs/http1/http1serverconnection.h
+++ b/src/libs/http1/http1serverconnection.h
@@ -3,7 +3,9 @@
 #include "libs/eventloop/singleshottimer.h"
 #include "libs/http1/http1server.h"
 #include "libs/http1/receivedbody.h"
+#include "libs/http1/transferprogress.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -44,25 +46,38 @@
     /// Closes the connection if no byte of a request has been received.
     void close_if_idle();
 
+    /// Whether the caller reads its response slowly.
+    bool is_slow(transfer_progress::clock::time_point now) const;
+    /// Memory that close() gives back.
+    std::size_t held_bytes() const { return m_response_body.size(); }
+
 private:
     using error_code = boost::system::error_code;
     using parser = boost::beast::http::request_parser<received_body>;
-    using wire_response = boost::beast::http::response<boost::beast::http::span_body<const char>>;
+    using response_body = boost::beast::http::span_body<const char>;
+    using wire_response = boost::beast::http::response<response_body>;
+    using serializer = boost::beast::http::response_serializer<response_body>;
+
+    /// What the connection does at the moment.
+    enum class phase : std::uint8_t { idle, reading_head, reading_body, handling, writing, lingering };
 
     void await_request();
-    void read_header();
+    void begin_head();
+    void read_head();
     /// Responds with an error if the request is malformed or too large; closes if the caller has closed the connection.
     void handle_read_error(const error_code& error);
     void on_header();
     void read_body();
     void read_more_body();
-    /// Reserves memory for what has been received of a body without an announced length.
+    /// Reserves memory for what has been received.
     bool reserve_received_bytes();
     void dispatch_request();
     void watch_for_close();
     void respond(http1_request_id id, http1_response response);
     void reject(unsigned status);
     void write(http1_response response, bool keep_alive);
+    void write_more();
+    void on_written();
     /// Ends the connection but lets the caller read the last response.
     void linger();
     void discard_input();
@@ -75,14 +90,17 @@
     single_shot_timer m_timer;
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
-    std::shared_ptr<wire_response> m_response;
+    std::optional<wire_response> m_response;
+    std::optional<serializer> m_serializer;
     /// The bytes that m_response refers to.
     message_body m_response_body;
+    transfer_progress m_progress;
+    phase m_phase = phase::idle;
     http1_request_id m_request = 0;
     std::size_t m_reserved_bytes = 0;
-    /// True while the connection waits for the first byte of a request.
-    bool m_is_idle = false;
     bool m_keep_alive = false;
+    /// Whether the connection stays open after the response that is being written.
+    bool m_stays_open = false;
     bool m_is_head = false;
     bool m_closed = false;
 };
--- a/src/libs/http1/receivedbody.h
+++ b/src/libs/http1/receivedbody.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <algorithm>
+#include "libs/memory/receivebuffer.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -12,9 +13,7 @@
 
 namespace mulberry::detail {
 
-/// A body that is received into a string. Memory is requested for bytes that have arrived and not for announced ones.
-/// A long body is given its whole address range at once, of which the system provides only what is written, so its
-/// bytes are not copied while it grows.
+/// A body that is received into a string with make_room().
 struct received_body {
     using value_type = std::string;
 
@@ -37,7 +36,7 @@
         template <class Buffers>
         std::size_t put(const Buffers& buffers, boost::system::error_code& error)
         {
-            make_room(boost::beast::buffer_bytes(buffers));
+            make_room(m_body, boost::beast::buffer_bytes(buffers), m_expected_bytes);
             std::size_t count = 0;
             for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
                 m_body.append(static_cast<const char*>(buffer.data()), buffer.size());
@@ -51,17 +50,6 @@
 
     private:
         static constexpr std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
-        static constexpr std::size_t long_body_bytes = std::size_t{1024} * 1024;
-
-        void make_room(std::size_t count)
-        {
-            const std::size_t needed = m_body.size() + count;
-            if (needed <= m_body.capacity())
-                return;
-            const std::size_t target =
-                needed < long_body_bytes ? std::min(2 * needed, std::max(needed, m_expected_bytes)) : m_expected_bytes;
-            m_body.reserve(std::max(target, needed));
-        }
 
         value_type& m_body;
         std::size_t m_expected_bytes = max_body_bytes;
--- a/src/libs/memory/memorybudget.cpp
+++ b/src/libs/memory/memorybudget.cpp
@@ -49,11 +49,16 @@
 {
     if (!m_budget)
         return true;
-    if (bytes > m_bytes && !m_budget->reserve(bytes - m_bytes, bytes))
-        return false;
-    if (bytes < m_bytes)
+    if (bytes <= m_bytes) {
         m_budget->release(m_bytes - bytes);
-    m_bytes = bytes;
+        m_bytes = bytes;
+        return true;
+    }
+    const std::size_t additional = bytes - m_bytes;
+    if (!m_budget->reserve(additional, bytes))
+        return false;
+    // This reservation may have been reclaimed in between.
+    m_bytes += additional;
     return true;
 }
 
--- a/src/libs/memory/messagebody.h
+++ b/src/libs/memory/messagebody.h
@@ -34,6 +34,14 @@
         return result;
     }
 
+    /// Adds a reservation that is held as long as the body.
+    void attach(memory_reservation reservation)
+    {
+        if (m_storage == nullptr)
+            *this = message_body(std::string());
+        m_storage->reservation = std::move(reservation);
+    }
+
     /// Enlarges the reservation of all copies by this number of bytes. Returns false if the budget is exhausted.
     bool reserve_more(std::size_t bytes) const
     {
--- a/src/libs/peer/clientconnection.cpp
+++ b/src/libs/peer/clientconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "libs/base/asyncerror.h"
 #include "libs/base/log.h"
+#include "libs/memory/receivebuffer.h"
 
 #include <algorithm>
 #include <charconv>
@@ -177,7 +178,7 @@
     if (call.local_error)
         return captured_error<message_body>(*call.local_error);
     if (call.is_complete && call.status == "200")
-        return message_body(std::move(call.response));
+        return message_body(std::move(call.response), std::move(call.reservation));
     if (call.is_complete)
         return captured_error<message_body>(error_of_status(call.status));
     return captured_error<message_body>(call.header_written ? default_error : peer_error::not_sent);
@@ -241,14 +242,25 @@
     if (*call->announced_bytes > settings().max_message_bytes) {
         ++counters().oversized_messages;
         fail_stream(stream, *call, peer_error::answer_too_large);
+        return;
     }
+    const auto owner = m_owner.lock();
+    if (owner && call->path == settings().metered_path)
+        call->reservation = memory_reservation(owner->memory());
 }
 
 void client_connection::on_data(std::int32_t stream, std::string_view piece)
 {
     call_state* call = find(stream);
-    if (call != nullptr && !call->local_error && !call->is_cancelled)
-        call->response += piece;
+    if (call == nullptr || call->local_error || call->is_cancelled)
+        return;
+    if (!call->reservation.resize(call->response.size() + piece.size())) {
+        call->response = {};
+        call->reservation.release();
+        return fail_stream(stream, *call, peer_error::answer_too_large);
+    }
+    make_room(call->response, piece.size(), *call->announced_bytes);
+    call->response += piece;
 }
 
 void client_connection::on_message_end(std::int32_t stream)
--- a/src/libs/peer/clientconnection.h
+++ b/src/libs/peer/clientconnection.h
@@ -18,6 +18,8 @@
     virtual ~client_connection_owner() = default;
 
     virtual void on_call_finished(peer_call_id id, leaf::result<message_body> result) = 0;
+    /// Null if memory is not limited.
+    virtual std::shared_ptr<memory_budget> memory() const = 0;
     virtual void on_connection_closed(class client_connection& connection) = 0;
 };
 
@@ -51,6 +53,7 @@
         std::string status;
         std::optional<std::size_t> announced_bytes;
         std::string response;
+        memory_reservation reservation;
         std::optional<peer_error> local_error;
     };
     using stream_map = std::map<std::int32_t, std::unique_ptr<call_state>>;
--- a/src/libs/peer/peerclient.cpp
+++ b/src/libs/peer/peerclient.cpp
@@ -14,8 +14,9 @@
 class peer_client::implementation final : public detail::client_connection_owner,
                                           public std::enable_shared_from_this<implementation> {
 public:
-    implementation(event_loop& loop, std::shared_ptr<peer_security> security, const peer_settings& settings)
-        : m_loop(loop), m_security(std::move(security)), m_settings(settings)
+    implementation(event_loop& loop, std::shared_ptr<peer_security> security, const peer_settings& settings,
+                   std::shared_ptr<memory_budget> memory)
+        : m_loop(loop), m_security(std::move(security)), m_settings(settings), m_memory(std::move(memory))
     {
     }
 
@@ -77,6 +78,8 @@
         });
     }
 
+    std::shared_ptr<memory_budget> memory() const override { return m_memory; }
+
     void on_connection_closed(client_connection& connection) override
     {
         const auto found = m_current_connections.find(connection.node_name());
@@ -135,6 +138,7 @@
     event_loop& m_loop;
     std::shared_ptr<peer_security> m_security;
     peer_settings m_settings;
+    std::shared_ptr<memory_budget> m_memory;
     std::shared_ptr<peer_counters> m_counters = std::make_shared<peer_counters>();
     std::map<std::string, std::shared_ptr<client_connection>, std::less<>> m_current_connections;
     std::set<std::shared_ptr<client_connection>> m_connections;
@@ -144,8 +148,9 @@
     std::function<void()> m_on_stopped;
 };
 
-peer_client::peer_client(event_loop& loop, std::shared_ptr<peer_security> security, const peer_settings& settings)
-    : m_implementation(std::make_shared<implementation>(loop, std::move(security), settings))
+peer_client::peer_client(event_loop& loop, std::shared_ptr<peer_security> security, const peer_settings& settings,
+                         std::shared_ptr<memory_budget> memory)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(security), settings, std::move(memory)))
 {
 }
 
--- a/src/libs/peer/peerclient.h
+++ b/src/libs/peer/peerclient.h
@@ -15,7 +15,8 @@
 /// failure of either is reported as not_sent.
 class peer_client final : public peer_caller {
 public:
-    peer_client(event_loop& loop, std::shared_ptr<peer_security> security, const peer_settings& settings = {});
+    peer_client(event_loop& loop, std::shared_ptr<peer_security> security, const peer_settings& settings = {},
+                std::shared_ptr<memory_budget> memory = nullptr);
     /// Closes all connections; callbacks of open calls are never called.
     ~peer_client() override;
 
--- a/src/libs/peer/peersettings.h
+++ b/src/libs/peer/peersettings.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace mulberry {
 
@@ -19,6 +20,9 @@
     /// Maximum total payload, as announced, of the calls that a server is receiving at a time; further calls are
     /// refused as not processed.
     std::size_t max_receiving_bytes = std::size_t{64} * 1024 * 1024;
+    /// Path whose calls and responses count against the memory budget. Calls with other paths are control messages,
+    /// which must arrive when memory is short.
+    std::string metered_path;
     /// Maximum number of connections that a server accepts; further ones are closed at once.
     std::size_t max_connections = 4096;
     /// Time limit from the start of the connection until the peer's first SETTINGS frame.
