Count a request by what has arrived of it, with its header fields

What was seen: 200 clients that announced 100 KB and sent nothing, or 60 that sent half of an upload, kept everybody else from sending a body of 2 KB. 400 waiting requests with 15 KB of short fields took the process over 64 MiB. An upload of 64 MiB, which the limits allow, was always refused, as only an eighth of the memory was for bodies.

Cause: the announced length of a body was reserved before a byte of it had come, and nothing else of a request was counted: the head while it arrives, fields of 5 bytes that occupy 160 each in each holder, calls of other nodes once they were complete.

Change: the connection's reservation follows its read buffer, the fields and the bytes of the body that have arrived, and moves to the request until its last holder releases it. Uploads that are slow by the same measure as slow readers lose their connections when the budget runs short. A body that could never fit is refused at its announcement as before. Calls between nodes are counted in the same way, with their decoded fields; one that finds no memory is refused as not run.

--- a/src/app/mulberryd/daemon.cpp
+++ b/src/app/mulberryd/daemon.cpp
@@ -164,7 +164,8 @@
     m_router.add(std::string(peer_control_link::path_prefix), *m_control);
     if (!m_identity)
         return std::uint16_t{0};
-    m_peer_server = std::make_unique<peer_server>(m_loop, *m_identity, m_router, make_peer_settings());
+    m_peer_server =
+        std::make_unique<peer_server>(m_loop, *m_identity, m_router, make_peer_settings(), m_message_memory);
     auto port = m_peer_server->start(m_settings.peers_listen.address, m_settings.peers_listen.port);
     if (!port) {
         log_error("daemon", "Cannot listen for peers on {}.", to_string(m_settings.peers_listen));
--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -3,6 +3,7 @@
 #include "libs/base/log.h"
 
 #include <chrono>
+#include <limits>
 #include <utility>
 
 namespace mulberry {
@@ -13,12 +14,12 @@
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
-// The memory limit is divided by this number to obtain the limit for bodies of callers' requests.
-constexpr std::size_t body_memory_divisor = 8;
 // Share of the memory limit for messages that are received, wait or have not been read. The rest is for the program,
 // its connections and its tables. A message of 64 MiB fits on a VM of 160 MiB.
 constexpr double message_memory_share = 0.5625;
 constexpr std::size_t max_peer_message_bytes = std::size_t{68} * 1024 * 1024;
+// Announced bytes are not limited, because those that arrive count against the memory for messages.
+constexpr std::size_t unlimited_bytes = std::numeric_limits<std::size_t>::max() / 2;
 // The descriptor limit is divided by this number to obtain the limit for callers' connections. The rest is needed for
 // the upstream, other daemons and the store.
 constexpr std::size_t caller_descriptor_divisor = 2;
@@ -73,6 +74,7 @@
 {
     peer_settings settings;
     settings.max_message_bytes = max_peer_message_bytes;
+    settings.max_receiving_bytes = unlimited_bytes;
     settings.metered_path = call_path;
     settings.ping_after = std::chrono::milliseconds(700);
     settings.connect_timeout = std::chrono::milliseconds(700);
@@ -188,7 +190,7 @@
       m_store(platform.make_store(m_store_http, m_timers)),
       m_security(std::make_shared<plain_security>(settings.node_name)),
       m_peers(loop, m_security, make_peer_settings(), m_message_memory),
-      m_peer_server(loop, m_security, m_router, make_peer_settings()), m_control(m_peers, *this),
+      m_peer_server(loop, m_security, m_router, make_peer_settings(), m_message_memory), m_control(m_peers, *this),
       m_transport(m_timers, m_peers, *this),
       m_relayed_store(make_relay_settings(platform), settings.node_name, settings.location, *m_store, m_peers, *this,
                       m_timers, m_random, [this] { return known_members(); }),
@@ -310,7 +312,7 @@
     callers.max_body_bytes = limits.max_body_bytes;
     callers.header_timeout = limits.header_timeout;
     callers.idle_timeout = limits.idle_timeout;
-    callers.max_buffered_body_bytes = m_settings.memory_limit_bytes / body_memory_divisor;
+    callers.max_buffered_body_bytes = m_settings.memory_limit_bytes;
     callers.max_connections = m_settings.descriptor_limit / caller_descriptor_divisor;
     m_callers->set_limits(callers);
 }
--- a/src/app/transport/peertransport.cpp
+++ b/src/app/transport/peertransport.cpp
@@ -13,6 +13,20 @@
     return is_certainly_unprocessed(error) ? call_error::not_sent : call_error::connection_lost;
 }
 
+/// The fields of a call are held decoded and as the message to the upstream.
+constexpr std::size_t field_copies = 2;
+
+call_response memory_refusal(const call_request& request)
+{
+    call_response response;
+    response.receiver = request.receiver;
+    response.sequence = request.attempt.sequence;
+    response.result = outcome::not_run;
+    response.reason = refusal_reason::queue_full;
+    response.unused_retries = request.retries;
+    return response;
+}
+
 leaf::result<call_response> to_call_response(leaf::result<message_body> result)
 {
     if (result) {
@@ -71,6 +85,8 @@
     const attempt_id id = decoded->attempt;
     if (id.sender.name != request.sender_name)
         return responder->reject();
+    if (!request.payload.reserve_more(field_copies * held_bytes(decoded->headers)))
+        return responder->respond(encode(memory_refusal(*decoded)));
     responder->on_cancelled([this, id] { m_guard.cancel(id); });
     m_guard.handle(request.sender_name, std::move(*decoded),
                    [responder](const call_response& response) { responder->respond(encode(response)); });
--- a/src/libs/http1/http1server.cpp
+++ b/src/libs/http1/http1server.cpp
@@ -69,6 +69,7 @@
     std::size_t open_connections() const { return m_connections.size(); }
 
     http1_handler& handler() override { return m_handler; }
+    std::shared_ptr<memory_budget> memory() const override { return m_memory; }
     const http1_limits& limits() const override { return m_limits; }
     bool is_closing() const override { return m_closing; }
     http1_request_id next_request_id() override { return ++m_last_id; }
--- a/src/libs/http1/http1serverconnection.cpp
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -72,6 +72,8 @@
 http1_server_connection::http1_server_connection(tcp::socket socket, std::weak_ptr<http1_connection_owner> owner)
     : m_socket(std::move(socket)), m_owner(std::move(owner)), m_timer(m_socket.get_executor())
 {
+    if (const auto locked_owner = m_owner.lock())
+        m_reservation = memory_reservation(locked_owner->memory());
 }
 
 void http1_server_connection::start()
@@ -98,6 +100,7 @@
     if (m_buffer.size() > 0)
         return begin_head();
     m_buffer.shrink_to_fit();
+    m_reservation.release();
     m_phase = phase::idle;
     start_timer(owner->limits().idle_timeout + idle_margin);
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
@@ -116,6 +119,7 @@
     const http1_limits& limits = owner->limits();
     m_phase = phase::reading_head;
     m_buffer.max_size(limits.max_header_bytes + max_read_ahead_bytes);
+    m_field_bytes = 0;
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     m_parser->body_limit(limits.max_body_bytes);
@@ -133,6 +137,8 @@
                                   return self->reject(status_header_too_large);
                               if (error)
                                   return self->handle_read_error(error);
+                              if (!self->reserve_received_bytes())
+                                  return self->reject(status_unavailable);
                               if (!self->m_parser->is_header_done())
                                   return self->read_head();
                               self->on_header();
@@ -153,14 +159,14 @@
     const auto owner = m_owner.lock();
     if (!owner)
         return close();
-    if (!is_unambiguous(headers_of(m_parser->get())))
+    const http_headers headers = headers_of(m_parser->get());
+    if (!is_unambiguous(headers))
         return reject(status_bad_request);
     m_is_head = m_parser->get().method() == http::verb::head;
-    m_reserved_bytes = m_parser->content_length().value_or(0);
-    if (!owner->reserve_body_bytes(m_reserved_bytes)) {
-        m_reserved_bytes = 0;
+    m_field_bytes = mulberry::held_bytes(headers);
+    const bool fits = m_parser->content_length().value_or(0) <= owner->limits().max_buffered_body_bytes;
+    if (!fits || !reserve_received_bytes())
         return reject(status_unavailable);
-    }
     const auto expects = m_parser->get()[http::field::expect];
     if (!beast::iequals(expects, "100-continue"))
         return read_body();
@@ -181,6 +187,7 @@
     if (m_parser->is_done())
         return dispatch_request();
     m_phase = phase::reading_body;
+    m_progress.start(transfer_progress::clock::now());
     start_timer(owner->limits().transfer_timeout);
     read_more_body();
 }
@@ -188,9 +195,10 @@
 void http1_server_connection::read_more_body()
 {
     http::async_read_some(m_socket, m_buffer, *m_parser,
-                          [self = shared_from_this()](const error_code& error, std::size_t) {
+                          [self = shared_from_this()](const error_code& error, std::size_t count) {
                               if (self->m_closed)
                                   return;
+                              self->m_progress.add(count, transfer_progress::clock::now());
                               if (error == http::error::buffer_overflow)
                                   return self->reject(status_bad_request);
                               if (error)
@@ -206,6 +214,8 @@
 bool http1_server_connection::reserve_received_bytes()
 {
     const std::size_t received = m_parser->get().body().size();
+    if (!m_reservation.resize(m_buffer.capacity() + m_field_bytes + received))
+        return false;
     if (received <= m_reserved_bytes)
         return true;
     const auto owner = m_owner.lock();
@@ -215,6 +225,17 @@
     return true;
 }
 
+std::optional<memory_reservation> http1_server_connection::reserve_request(const http1_request& request)
+{
+    // The fields are held by the entry and, if the upstream is beside this process, by the guard as well.
+    constexpr std::size_t field_copies = 2;
+    const std::size_t request_bytes =
+        request.body.size() + request.target.size() + field_copies * mulberry::held_bytes(request.headers);
+    if (!m_reservation.resize(m_buffer.capacity() + request_bytes))
+        return std::nullopt;
+    return m_reservation.split(request_bytes);
+}
+
 http1_request http1_server_connection::take_request()
 {
     auto message = m_parser->release();
@@ -235,12 +256,21 @@
         return close();
     m_timer.cancel();
     m_keep_alive = m_parser->get().keep_alive();
+    http1_request request = take_request();
+    if (m_buffer.size() == 0)
+        m_buffer.shrink_to_fit();
+    auto reservation = reserve_request(request);
+    if (m_closed)
+        return;
+    if (!reservation)
+        return reject(status_unavailable);
+    request.body.attach(std::move(*reservation));
     m_phase = phase::handling;
     const http1_request_id id = owner->next_request_id();
     m_request = id;
     // Started before the handler is called, because the handler may respond within the call.
     watch_for_close();
-    owner->handler().on_request(id, take_request(), [weak = weak_from_this(), id](http1_response response) {
+    owner->handler().on_request(id, std::move(request), [weak = weak_from_this(), id](http1_response response) {
         if (const auto self = weak.lock())
             self->respond(id, std::move(response));
     });
@@ -339,6 +369,8 @@
 {
     error_code ignored;
     m_phase = phase::lingering;
+    m_parser.reset();
+    m_reservation.release();
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     // Not restarted by what the caller sends, which may be without end.
     start_timer(linger_limit);
@@ -375,7 +407,8 @@
 
 bool http1_server_connection::is_slow(transfer_progress::clock::time_point now) const
 {
-    return m_phase == phase::writing && m_progress.is_slow(now);
+    const bool transfers = m_phase == phase::reading_body || m_phase == phase::writing;
+    return transfers && m_progress.is_slow(now);
 }
 
 void http1_server_connection::close()
@@ -387,6 +420,7 @@
     error_code ignored;
     m_socket.close(ignored);
     release_reserved_bytes();
+    m_reservation.release();
     // An operation that is still queued does not use the bytes any more, because the socket is closed.
     m_response_body = {};
     const auto owner = m_owner.lock();
--- a/src/libs/http1/http1serverconnection.h
+++ b/src/libs/http1/http1serverconnection.h
@@ -27,6 +27,8 @@
 
     virtual http1_handler& handler() = 0;
     virtual const http1_limits& limits() const = 0;
+    /// Null if memory is not limited.
+    virtual std::shared_ptr<memory_budget> memory() const = 0;
     virtual bool is_closing() const = 0;
     virtual http1_request_id next_request_id() = 0;
     /// Reserves memory for a request body; returns false if max_buffered_body_bytes would be exceeded.
@@ -46,10 +48,10 @@
     /// Closes the connection if no byte of a request has been received.
     void close_if_idle();
 
-    /// Whether the caller reads its response slowly.
+    /// Whether the caller sends the body of its request, or reads its response, slowly.
     bool is_slow(transfer_progress::clock::time_point now) const;
     /// Memory that close() gives back.
-    std::size_t held_bytes() const { return m_response_body.size(); }
+    std::size_t held_bytes() const { return m_reservation.bytes() + m_response_body.size(); }
 
 private:
     using error_code = boost::system::error_code;
@@ -71,6 +73,8 @@
     void read_more_body();
     /// Reserves memory for what has been received.
     bool reserve_received_bytes();
+    /// Reserves memory for the request that has been received, and moves the reservation out.
+    std::optional<memory_reservation> reserve_request(const http1_request& request);
     void dispatch_request();
     void watch_for_close();
     void respond(http1_request_id id, http1_response response);
@@ -94,6 +98,10 @@
     std::optional<serializer> m_serializer;
     /// The bytes that m_response refers to.
     message_body m_response_body;
+    /// Memory of what has been received and is not part of a request in progress.
+    memory_reservation m_reservation;
+    /// Memory of the header fields of the request that is being received.
+    std::size_t m_field_bytes = 0;
     transfer_progress m_progress;
     phase m_phase = phase::idle;
     http1_request_id m_request = 0;
--- a/src/libs/peer/peerserver.cpp
+++ b/src/libs/peer/peerserver.cpp
@@ -23,8 +23,9 @@
                                           public std::enable_shared_from_this<implementation> {
 public:
     implementation(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler,
-                   const peer_settings& settings)
+                   const peer_settings& settings, std::shared_ptr<memory_budget> memory)
         : m_loop(loop), m_security(std::move(security)), m_handler(handler), m_settings(settings),
+          m_memory(std::move(memory)),
           m_listener(loop, [this](tcp::socket socket) { accept_connection(std::move(socket)); })
     {
     }
@@ -70,6 +71,8 @@
 
     void post(std::function<void()> task) override { m_loop.post(std::move(task)); }
 
+    std::shared_ptr<memory_budget> memory() const override { return m_memory; }
+
     bool reserve_bytes(std::size_t bytes) override
     {
         if (m_receiving_bytes + bytes > m_settings.max_receiving_bytes)
@@ -115,6 +118,7 @@
     std::shared_ptr<peer_security> m_security;
     peer_handler& m_handler;
     peer_settings m_settings;
+    std::shared_ptr<memory_budget> m_memory;
     std::shared_ptr<peer_counters> m_counters = std::make_shared<peer_counters>();
     tcp_listener m_listener;
     std::set<std::shared_ptr<detail::server_connection>> m_connections;
@@ -125,8 +129,9 @@
 };
 
 peer_server::peer_server(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler,
-                         const peer_settings& settings)
-    : m_implementation(std::make_shared<implementation>(loop, std::move(security), handler, settings))
+                         const peer_settings& settings, std::shared_ptr<memory_budget> memory)
+    : m_implementation(
+          std::make_shared<implementation>(loop, std::move(security), handler, settings, std::move(memory)))
 {
 }
 
--- a/src/libs/peer/peerserver.h
+++ b/src/libs/peer/peerserver.h
@@ -18,7 +18,7 @@
 class peer_server {
 public:
     peer_server(event_loop& loop, std::shared_ptr<peer_security> security, peer_handler& handler,
-                const peer_settings& settings = {});
+                const peer_settings& settings = {}, std::shared_ptr<memory_budget> memory = nullptr);
     peer_server(const peer_server&) = delete;
     peer_server& operator=(const peer_server&) = delete;
     /// Closes all connections.
--- a/src/libs/peer/serverconnection.cpp
+++ b/src/libs/peer/serverconnection.cpp
@@ -1,6 +1,7 @@
 #include "libs/peer/serverconnection.h"
 
 #include "libs/base/log.h"
+#include "libs/memory/receivebuffer.h"
 
 #include <charconv>
 
@@ -227,14 +228,25 @@
     }
     else {
         call->reserved_bytes = *call->announced_bytes;
+        if (call->path == settings().metered_path)
+            call->reservation = memory_reservation(owner->memory());
     }
 }
 
 void server_connection::on_data(std::int32_t stream, std::string_view piece)
 {
     call_state* call = find(stream);
-    if (call != nullptr && !call->is_rejected)
-        call->payload += piece;
+    if (call == nullptr || call->is_rejected)
+        return;
+    if (!call->reservation.resize(call->payload.size() + piece.size())) {
+        call->is_rejected = true;
+        call->payload = {};
+        call->reservation.release();
+        reset_stream(stream, NGHTTP2_REFUSED_STREAM);
+        return;
+    }
+    make_room(call->payload, piece.size(), *call->announced_bytes);
+    call->payload += piece;
 }
 
 void server_connection::on_message_end(std::int32_t stream)
@@ -255,7 +267,9 @@
     auto responder = std::make_shared<stream_responder>(self, m_owner, stream);
     call->responder = responder;
     const std::string& sender_name = security().authenticates_connections() ? m_peer_name : call->sender_name;
-    owner->deliver({sender_name, std::move(call->path), message_body(std::move(call->payload))}, std::move(responder));
+    owner->deliver(
+        {sender_name, std::move(call->path), message_body(std::move(call->payload), std::move(call->reservation))},
+        std::move(responder));
 }
 
 void server_connection::on_stream_close(std::int32_t stream, std::uint32_t code, bool reset_by_peer)
--- a/src/libs/peer/serverconnection.h
+++ b/src/libs/peer/serverconnection.h
@@ -26,6 +26,8 @@
     /// Reserves memory for the payload of a call; returns false if max_receiving_bytes would be exceeded.
     virtual bool reserve_bytes(std::size_t bytes) = 0;
     virtual void release_bytes(std::size_t bytes) = 0;
+    /// Null if memory is not limited.
+    virtual std::shared_ptr<memory_budget> memory() const = 0;
     virtual void on_connection_closed(server_connection& connection) = 0;
 };
 
@@ -84,6 +86,7 @@
         std::optional<std::size_t> announced_bytes;
         std::size_t reserved_bytes = 0;
         std::string payload;
+        memory_reservation reservation;
         bool is_complete = false;
         bool is_rejected = false;
         outgoing_payload response;
