Count what a caller sends while its request is in progress

What was seen: 300 clients that sent on while their first requests were held had 37 MiB in the kernel's receive buffers, beside 11 MiB of memory, with a limit of 24 MiB. Received bytes that are not read yet count towards the memory of the process.

Cause: a connection reads nothing while its request is in progress, and each receive buffer takes 64 KiB or more.

Change: once such a caller has sent more, its unread bytes are counted against the memory for messages every 200 ms; when no memory is left, its connection is closed. The same while a response cannot be written at once. Callers that wait for their responses cost nothing. Weighed: a smaller receive buffer for each connection, which bounds the sum only if it is too small for uploads.

--- a/src/libs/http1/http1serverconnection.cpp
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::seconds idle_margin{2};
 // Bytes beyond the header limit that are read ahead of the parser, which also limits chunk extensions and trailers.
 constexpr std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
+// How often the bytes are counted that a caller has sent while its request is in progress.
+constexpr std::chrono::milliseconds unread_check_period{200};
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_too_large = 413;
@@ -292,7 +294,24 @@
             return self->watch_for_close();
         const bool has_next_request = !result && count > 0;
         if (!has_next_request)
-            self->close();
+            return self->close();
+        self->watch_unread_bytes();
+    });
+}
+
+void http1_server_connection::watch_unread_bytes()
+{
+    if (m_closed || (m_phase != phase::handling && m_phase != phase::writing))
+        return;
+    error_code error;
+    const std::size_t unread = m_socket.available(error);
+    if (error || !m_reservation.resize(m_buffer.capacity() + unread))
+        return close();
+    if (!m_unread_timer)
+        m_unread_timer.emplace(m_socket.get_executor());
+    m_unread_timer->start(unread_check_period, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->watch_unread_bytes();
     });
 }
 
@@ -351,6 +370,8 @@
                                if (self->m_serializer->is_done())
                                    return self->on_written();
                                self->m_progress.add(count, transfer_progress::clock::now());
+                               if (!self->m_unread_timer)
+                                   self->watch_unread_bytes();
                                self->write_more();
                            });
 }
@@ -360,6 +381,7 @@
     m_serializer.reset();
     m_response.reset();
     m_response_body = {};
+    m_unread_timer.reset();
     if (m_stays_open)
         return await_request();
     linger();
@@ -423,6 +445,7 @@
     m_reservation.release();
     // An operation that is still queued does not use the bytes any more, because the socket is closed.
     m_response_body = {};
+    m_unread_timer.reset();
     const auto owner = m_owner.lock();
     if (!owner)
         return;
--- a/src/libs/http1/http1serverconnection.h
+++ b/src/libs/http1/http1serverconnection.h
@@ -77,6 +77,8 @@
     std::optional<memory_reservation> reserve_request(const http1_request& request);
     void dispatch_request();
     void watch_for_close();
+    /// Counts what the caller sends while its request is handled or its response is written.
+    void watch_unread_bytes();
     void respond(http1_request_id id, http1_response response);
     void reject(unsigned status);
     void write(http1_response response, bool keep_alive);
@@ -103,6 +105,8 @@
     /// Memory of the header fields of the request that is being received.
     std::size_t m_field_bytes = 0;
     transfer_progress m_progress;
+    /// Started only for callers that send more while their request is in progress.
+    std::optional<single_shot_timer> m_unread_timer;
     phase m_phase = phase::idle;
     http1_request_id m_request = 0;
     std::size_t m_reserved_bytes = 0;
