Let new connections replace those that are needed least

What was seen: with as many idle, half-open or slow connections as the limit allows, every further connection was closed at once, so that no ordinary caller got in until the idle timeout; the same in mulberryd.

Cause: the limit of connections knew only one who gives way, the newest.

Change: at the limit a new connection replaces one whose response has been read, else the one that has been idle for longest and has not sent anything, else the one that has been sending its head for longest, else one whose transfer is slow. Connections with a request in progress are never closed for this; if all have one, the new connection is closed as before.

--- a/src/libs/http1/http1server.cpp
+++ b/src/libs/http1/http1server.cpp
@@ -67,12 +67,14 @@
     void set_limits(const http1_limits& limits) { m_limits = limits; }
     void begin_closing() { m_closing = true; }
     std::size_t open_connections() const { return m_connections.size(); }
+    std::uint64_t evicted_connections() const { return m_evicted_connections; }
 
     http1_handler& handler() override { return m_handler; }
     std::shared_ptr<memory_budget> memory() const override { return m_memory; }
     const http1_limits& limits() const override { return m_limits; }
     bool is_closing() const override { return m_closing; }
     http1_request_id next_request_id() override { return ++m_last_id; }
+    std::uint64_t next_phase_number() override { return ++m_last_phase; }
 
     void join_budget()
     {
@@ -119,13 +121,33 @@
 
     void accept_connection(tcp::socket socket)
     {
-        if (m_connections.size() >= m_limits.max_connections)
+        if (m_connections.size() >= m_limits.max_connections && !evict_connection())
             return;
         auto connection = std::make_shared<http1_server_connection>(std::move(socket), weak_from_this());
         m_connections.insert(connection);
         connection->start();
     }
 
+    /// Closes the connection that is needed least. Returns false if all are in use.
+    bool evict_connection()
+    {
+        const auto now = detail::transfer_progress::clock::now();
+        std::shared_ptr<http1_server_connection> chosen;
+        std::optional<http1_server_connection::eviction_order> first;
+        for (const auto& connection : m_connections) {
+            const auto order = connection->eviction(now);
+            if (!order || (first && *first <= *order) || connection->has_new_request())
+                continue;
+            first = order;
+            chosen = connection;
+        }
+        if (!chosen)
+            return false;
+        ++m_evicted_connections;
+        chosen->close();
+        return true;
+    }
+
     void notify_if_stopped()
     {
         if (m_on_stopped && m_connections.empty())
@@ -139,6 +161,8 @@
     tcp_listener m_listener;
     std::set<std::shared_ptr<http1_server_connection>> m_connections;
     http1_request_id m_last_id = 0;
+    std::uint64_t m_last_phase = 0;
+    std::uint64_t m_evicted_connections = 0;
     std::size_t m_buffered_body_bytes = 0;
     bool m_closing = false;
     std::function<void()> m_on_stopped;
@@ -192,4 +216,9 @@
     return m_implementation->open_connections();
 }
 
+std::uint64_t http1_server::evicted_connections() const
+{
+    return m_implementation->evicted_connections();
+}
+
 } // namespace mulberry
--- a/src/libs/http1/http1server.h
+++ b/src/libs/http1/http1server.h
@@ -60,7 +60,9 @@
     /// Maximum total size in bytes of the request bodies that are being received or handled at a time over all
     /// connections; a body that exceeds it is refused with 503. Announced bytes count only once they have arrived.
     std::size_t max_buffered_body_bytes = std::size_t{64} * 1024 * 1024;
-    /// Maximum number of open connections; further ones are closed at once.
+    /// Maximum number of open connections. A further one replaces the connection that is needed least: one that has
+    /// been idle for longest, then one that sends its head, then one whose transfer is slow. If all are in use, it is
+    /// closed at once.
     std::size_t max_connections = 2000;
 };
 
@@ -94,6 +96,8 @@
     void stop(std::function<void()> done);
 
     std::size_t open_connections() const;
+    /// Number of connections that were closed to make room for new ones.
+    std::uint64_t evicted_connections() const;
 
 private:
     class implementation;
--- a/src/libs/http1/http1serverconnection.cpp
+++ b/src/libs/http1/http1serverconnection.cpp
@@ -93,6 +93,13 @@
     });
 }
 
+void http1_server_connection::enter(phase next)
+{
+    m_phase = next;
+    if (const auto owner = m_owner.lock())
+        m_phase_number = owner->next_phase_number();
+}
+
 void http1_server_connection::await_request()
 {
     const auto owner = m_owner.lock();
@@ -103,7 +110,7 @@
         return begin_head();
     m_buffer.shrink_to_fit();
     m_reservation.release();
-    m_phase = phase::idle;
+    enter(phase::idle);
     start_timer(owner->limits().idle_timeout + idle_margin);
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
         if (error)
@@ -119,7 +126,7 @@
     if (!owner)
         return close();
     const http1_limits& limits = owner->limits();
-    m_phase = phase::reading_head;
+    enter(phase::reading_head);
     m_buffer.max_size(limits.max_header_bytes + max_read_ahead_bytes);
     m_field_bytes = 0;
     m_parser.emplace();
@@ -188,7 +195,7 @@
         return close();
     if (m_parser->is_done())
         return dispatch_request();
-    m_phase = phase::reading_body;
+    enter(phase::reading_body);
     m_progress.start(transfer_progress::clock::now());
     start_timer(owner->limits().transfer_timeout);
     read_more_body();
@@ -267,7 +274,7 @@
     if (!reservation)
         return reject(status_unavailable);
     request.body.attach(std::move(*reservation));
-    m_phase = phase::handling;
+    enter(phase::handling);
     const http1_request_id id = owner->next_request_id();
     m_request = id;
     // Started before the handler is called, because the handler may respond within the call.
@@ -340,7 +347,7 @@
     const auto owner = m_owner.lock();
     if (!owner)
         return close();
-    m_phase = phase::writing;
+    enter(phase::writing);
     m_stays_open = keep_alive;
     wire_response& message = m_response.emplace();
     message.version(11);
@@ -390,7 +397,7 @@
 void http1_server_connection::linger()
 {
     error_code ignored;
-    m_phase = phase::lingering;
+    enter(phase::lingering);
     m_parser.reset();
     m_reservation.release();
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -419,14 +426,38 @@
         owner->release(std::exchange(m_reserved_bytes, 0));
 }
 
-void http1_server_connection::close_if_idle()
+bool http1_server_connection::has_new_request() const
 {
     error_code error;
-    const bool has_bytes = m_socket.available(error) > 0 || m_buffer.size() > 0;
-    if (m_phase == phase::idle && !has_bytes)
+    return m_phase == phase::idle && (m_socket.available(error) > 0 || m_buffer.size() > 0);
+}
+
+void http1_server_connection::close_if_idle()
+{
+    if (m_phase == phase::idle && !has_new_request())
         close();
 }
 
+std::optional<http1_server_connection::eviction_order>
+http1_server_connection::eviction(transfer_progress::clock::time_point now) const
+{
+    enum rank : int { ended, idle, slow_head, slow_transfer };
+    switch (m_phase) {
+    case phase::lingering:
+        return eviction_order{ended, m_phase_number};
+    case phase::idle:
+        return eviction_order{idle, m_phase_number};
+    case phase::reading_head:
+        return eviction_order{slow_head, m_phase_number};
+    case phase::reading_body:
+    case phase::writing:
+        return is_slow(now) ? std::optional(eviction_order{slow_transfer, m_phase_number}) : std::nullopt;
+    case phase::handling:
+        break;
+    }
+    return std::nullopt;
+}
+
 bool http1_server_connection::is_slow(transfer_progress::clock::time_point now) const
 {
     const bool transfers = m_phase == phase::reading_body || m_phase == phase::writing;
--- a/src/libs/http1/http1serverconnection.h
+++ b/src/libs/http1/http1serverconnection.h
@@ -5,6 +5,7 @@
 #include "libs/http1/receivedbody.h"
 #include "libs/http1/transferprogress.h"
 
+#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -31,6 +32,7 @@
     virtual std::shared_ptr<memory_budget> memory() const = 0;
     virtual bool is_closing() const = 0;
     virtual http1_request_id next_request_id() = 0;
+    virtual std::uint64_t next_phase_number() = 0;
     /// Reserves memory for a request body; returns false if max_buffered_body_bytes would be exceeded.
     virtual bool reserve_body_bytes(std::size_t bytes) = 0;
     virtual void release(std::size_t bytes) = 0;
@@ -48,6 +50,18 @@
     /// Closes the connection if no byte of a request has been received.
     void close_if_idle();
 
+    /// Order in which connections give way to new ones, and among those of one rank the order in which they began what
+    /// they do. Empty if the connection must stay.
+    struct eviction_order {
+        int rank = 0;
+        std::uint64_t phase_number = 0;
+
+        auto operator<=>(const eviction_order&) const = default;
+    };
+    std::optional<eviction_order> eviction(transfer_progress::clock::time_point now) const;
+    /// Whether an idle connection has received bytes that have not been read yet.
+    bool has_new_request() const;
+
     /// Whether the caller sends the body of its request, or reads its response, slowly.
     bool is_slow(transfer_progress::clock::time_point now) const;
     /// Memory that close() gives back.
@@ -63,6 +77,7 @@
     /// What the connection does at the moment.
     enum class phase : std::uint8_t { idle, reading_head, reading_body, handling, writing, lingering };
 
+    void enter(phase next);
     void await_request();
     void begin_head();
     void read_head();
@@ -108,6 +123,7 @@
     /// Started only for callers that send more while their request is in progress.
     std::optional<single_shot_timer> m_unread_timer;
     phase m_phase = phase::idle;
+    std::uint64_t m_phase_number = 0;
     http1_request_id m_request = 0;
     std::size_t m_reserved_bytes = 0;
     bool m_keep_alive = false;
--- a/tests/auto/libs/http1/tst_http1server.cpp
+++ b/tests/auto/libs/http1/tst_http1server.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+using boost::asio::ip::tcp;
+
 struct recording_handler final : http1_handler {
     void on_request(http1_request_id id, http1_request request, response_callback done) override
     {
@@ -127,6 +129,75 @@
     }
 }
 
+// Guards against idle connections that keep new callers out, and against closing connections that are in use.
+BOOST_FIXTURE_TEST_CASE(new_connections_replace_idle_ones, server_fixture)
+{
+    http1_limits limits = small_limits();
+    limits.max_connections = 3;
+    server.set_limits(limits);
+    handler.hold_responses = true;
+    raw_client busy(*this, port);
+    busy.send("GET /busy HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(run_until([&] { return handler.pending_callbacks.size() == 1; }));
+    raw_client first_idle(*this, port);
+    BOOST_TEST(run_until([&] { return server.open_connections() == 2; }));
+    raw_client second_idle(*this, port);
+    BOOST_TEST(run_until([&] { return server.open_connections() == 3; }));
+
+    raw_client next(*this, port);
+    BOOST_TEST(first_idle.ended());
+    next.send("GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(run_until([&] { return handler.pending_callbacks.size() == 2; }));
+    second_idle.send("GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(run_until([&] { return handler.pending_callbacks.size() == 3; }));
+    BOOST_TEST(server.evicted_connections() == 1U);
+
+    // All connections are in use now.
+    raw_client refused(*this, port);
+    BOOST_TEST(refused.ended());
+    for (const auto& [id, done] : std::exchange(handler.pending_callbacks, {}))
+        done({200, {}, "answer"});
+    BOOST_TEST(busy.received("answer"));
+    BOOST_TEST(next.received("answer"));
+    BOOST_TEST(second_idle.received("answer"));
+}
+
+// Guards against callers that hold the memory for messages by not reading: they give way to others.
+BOOST_FIXTURE_TEST_CASE(slow_readers_give_way_when_memory_is_short, test_event_loop)
+{
+    constexpr std::size_t body_bytes = std::size_t{8} * 1024 * 1024;
+    const auto memory = std::make_shared<memory_budget>(3 * body_bytes);
+    recording_handler handler;
+    handler.hold_responses = true;
+    http1_server server(loop, handler, {}, memory);
+    const std::uint16_t port = server.start("127.0.0.1", 0).value();
+    const auto respond = [&] {
+        memory_reservation reservation(memory);
+        const bool is_reserved = reservation.resize(body_bytes);
+        const auto callback = handler.pending_callbacks.begin()->second;
+        handler.pending_callbacks.clear();
+        callback({200, {}, message_body(std::string(is_reserved ? body_bytes : 0, 'x'), std::move(reservation))});
+        return is_reserved;
+    };
+    boost::asio::io_context clients;
+    std::vector<tcp::socket> readers;
+    for (int i = 0; i < 2; ++i) {
+        readers.emplace_back(clients).connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        boost::asio::write(readers.back(), boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        BOOST_TEST(run_until([&] { return handler.pending_callbacks.size() == 1; }));
+        BOOST_TEST(respond());
+    }
+    // Three quarters of the memory are in use, and the readers are not slow yet.
+    memory_reservation early(memory);
+    BOOST_TEST(!early.resize(body_bytes));
+    BOOST_TEST(run_until([&] {
+        memory_reservation probe(memory);
+        return probe.resize(body_bytes);
+    }));
+    BOOST_TEST(server.open_connections() == 1U);
+    BOOST_TEST(memory->reclaimed() == 1U);
+}
+
 // Guards against a response that its receiver would read differently: fields that cannot be written and statuses that
 // no response can have.
 BOOST_FIXTURE_TEST_CASE(unwritable_responses_are_replaced, server_fixture)
