Leave descriptors for callers when other ports are held open

What was seen: idle connections to the ports for metrics and for other daemons used up all 200 descriptors of the process; new callers waited until one was free by chance.

Cause: the ports for readiness, announcements and metrics had the default limit of 2000 connections each and the port for daemons one of 4096, whatever descriptor_limit says. A connection between daemons on which nothing is ever sent was kept without end.

Change: a quarter of descriptor_limit for connections of other daemons and 1/32 (8 to 64) for each local port, beside the half for callers.

Before: tst_heldconnections.idle_connections_of_other_ports failed on (200 of 200 descriptors). After: it passes.

--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "libs/base/log.h"
 
+#include <algorithm>
 #include <chrono>
 #include <limits>
 #include <utility>
@@ -23,7 +24,13 @@
 // The descriptor limit is divided by this number to obtain the limit for callers' connections. The rest is needed for
 // the upstream, other daemons and the store.
 constexpr std::size_t caller_descriptor_divisor = 2;
-// Limits of the ports that only the platform and the upstream beside this process use.
+// Share of the descriptor limit for connections of other daemons.
+constexpr std::size_t peer_descriptor_divisor = 4;
+// Share of the descriptor limit for each port that only the platform and the upstream beside this process use.
+constexpr std::size_t local_descriptor_divisor = 32;
+constexpr std::size_t min_local_connections = 8;
+constexpr std::size_t max_local_connections = 64;
+// Limits of these ports.
 constexpr std::size_t max_local_body_bytes = std::size_t{64} * 1024;
 constexpr std::size_t max_local_buffered_bytes = std::size_t{1024} * 1024;
 // How often a planned stop checks whether all work has finished.
@@ -70,9 +77,10 @@
     return settings;
 }
 
-peer_settings make_peer_settings()
+peer_settings make_peer_settings(const sidecar_settings& daemon_settings)
 {
     peer_settings settings;
+    settings.max_connections = daemon_settings.descriptor_limit / peer_descriptor_divisor;
     settings.max_message_bytes = max_peer_message_bytes;
     settings.max_receiving_bytes = unlimited_bytes;
     settings.metered_path = call_path;
@@ -81,9 +89,11 @@
     return settings;
 }
 
-http1_limits local_limits()
+http1_limits local_limits(const sidecar_settings& settings)
 {
     http1_limits limits;
+    limits.max_connections =
+        std::clamp(settings.descriptor_limit / local_descriptor_divisor, min_local_connections, max_local_connections);
     limits.max_body_bytes = max_local_body_bytes;
     limits.max_buffered_body_bytes = max_local_buffered_bytes;
     return limits;
@@ -189,9 +199,9 @@
       m_upstream_http(loop, m_timers, upstream_client_settings(settings), m_message_memory),
       m_store(platform.make_store(m_store_http, m_timers)),
       m_security(std::make_shared<plain_security>(settings.node_name)),
-      m_peers(loop, m_security, make_peer_settings(), m_message_memory),
-      m_peer_server(loop, m_security, m_router, make_peer_settings(), m_message_memory), m_control(m_peers, *this),
-      m_transport(m_timers, m_peers, *this),
+      m_peers(loop, m_security, make_peer_settings(settings), m_message_memory),
+      m_peer_server(loop, m_security, m_router, make_peer_settings(settings), m_message_memory),
+      m_control(m_peers, *this), m_transport(m_timers, m_peers, *this),
       m_relayed_store(make_relay_settings(platform), settings.node_name, settings.location, *m_store, m_peers, *this,
                       m_timers, m_random, [this] { return known_members(); }),
       m_relay_port(m_relayed_store, m_timers)
@@ -221,9 +231,9 @@
     m_announcement_port = std::make_unique<announcement_port>(*m_node, platform);
     m_metrics_port = std::make_unique<metrics_port>(*m_node, *m_message_memory, m_metrics);
     m_callers = std::make_unique<http1_server>(loop, *m_caller_port, http1_limits{}, m_message_memory);
-    m_readiness = std::make_unique<http1_server>(loop, *m_readiness_port, local_limits());
-    m_announcements = std::make_unique<http1_server>(loop, *m_announcement_port, local_limits());
-    m_metrics_server = std::make_unique<http1_server>(loop, *m_metrics_port, local_limits());
+    m_readiness = std::make_unique<http1_server>(loop, *m_readiness_port, local_limits(settings));
+    m_announcements = std::make_unique<http1_server>(loop, *m_announcement_port, local_limits(settings));
+    m_metrics_server = std::make_unique<http1_server>(loop, *m_metrics_port, local_limits(settings));
     apply_limits({});
 }
 
--- a/src/libs/peer/peerserver.cpp
+++ b/src/libs/peer/peerserver.cpp
@@ -6,6 +6,7 @@
 #include "libs/eventloop/tcplistener.h"
 #include "libs/peer/serverconnection.h"
 
+#include <deque>
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -100,14 +101,33 @@
 
     void accept_connection(tcp::socket socket)
     {
-        if (m_connections.size() >= m_settings.max_connections)
+        if (m_connections.size() >= m_settings.max_connections && !evict_stranger())
             return;
         auto connection = std::make_shared<detail::server_connection>(std::move(socket), m_security, m_settings,
                                                                       m_counters, weak_from_this());
         m_connections.insert(connection);
+        std::erase_if(m_new_connections, [](const auto& each) {
+            const auto existing = each.lock();
+            return !existing || existing->has_accepted_call();
+        });
+        m_new_connections.push_back(connection);
         connection->accept();
     }
 
+    /// Closes the oldest connection on which no call has been accepted. Returns false if there is none.
+    bool evict_stranger()
+    {
+        while (!m_new_connections.empty()) {
+            const auto oldest = m_new_connections.front().lock();
+            m_new_connections.pop_front();
+            if (!oldest || oldest->has_accepted_call())
+                continue;
+            oldest->close();
+            return true;
+        }
+        return false;
+    }
+
     void notify_if_stopped()
     {
         if (m_stopping && m_connections.empty() && m_on_stopped)
@@ -122,6 +142,8 @@
     std::shared_ptr<peer_counters> m_counters = std::make_shared<peer_counters>();
     tcp_listener m_listener;
     std::set<std::shared_ptr<detail::server_connection>> m_connections;
+    /// Connections on which no call had been accepted when they were last looked at, in the order of their begin.
+    std::deque<std::weak_ptr<detail::server_connection>> m_new_connections;
     std::size_t m_receiving_bytes = 0;
     bool m_stopping = false;
     bool m_shutting_down = false;
--- a/src/libs/peer/peersettings.h
+++ b/src/libs/peer/peersettings.h
@@ -23,8 +23,11 @@
     /// Path whose calls and responses count against the memory budget. Calls with other paths are control messages,
     /// which must arrive when memory is short.
     std::string metered_path;
-    /// Maximum number of connections that a server accepts; further ones are closed at once.
+    /// Maximum number of connections that a server accepts. A further one replaces the oldest connection on which no
+    /// call has been accepted; if there is none, it is closed at once.
     std::size_t max_connections = 4096;
+    /// A server closes a connection on which no call has been accepted after this time.
+    duration first_call_timeout{std::chrono::seconds(5)};
     /// Time limit from the start of the connection until the peer's first SETTINGS frame.
     duration connect_timeout{std::chrono::seconds(2)};
     /// A client closes a connection that has had no calls for this time.
--- a/src/libs/peer/serverconnection.cpp
+++ b/src/libs/peer/serverconnection.cpp
@@ -97,9 +97,12 @@
             close();
             return;
         }
-        m_handshake_timer.cancel();
         ++counters().connections_opened;
         start_session();
+        m_handshake_timer.start(settings().first_call_timeout, [this, self_reference] {
+            if (!m_has_accepted_call)
+                close();
+        });
         if (m_draining)
             drain();
     });
@@ -228,6 +231,8 @@
     }
     else {
         call->reserved_bytes = *call->announced_bytes;
+        if (!std::exchange(m_has_accepted_call, true))
+            m_handshake_timer.cancel();
         if (call->path == settings().metered_path)
             call->reservation = memory_reservation(owner->memory());
     }
--- a/src/libs/peer/serverconnection.h
+++ b/src/libs/peer/serverconnection.h
@@ -68,6 +68,8 @@
                       std::weak_ptr<server_connection_owner> owner);
 
     void accept();
+    /// Whether a call with a valid credential has been received, so that the connection is that of a daemon.
+    bool has_accepted_call() const { return m_has_accepted_call; }
     /// Announces the end to the peer by GOAWAY and closes once all calls have their responses.
     void drain();
 
@@ -113,6 +115,7 @@
     std::string m_peer_name;
     std::map<std::int32_t, std::unique_ptr<call_state>> m_streams;
     bool m_draining = false;
+    bool m_has_accepted_call = false;
 };
 
 } // namespace mulberry::detail
