Do not acknowledge a leave that is ignored, and let a run with an earlier start time take over

Cause: the order of runs is that of their start times, by a clock that can be set back, and the acknowledgement did not depend on the result.

Delayed reports of a run that has ended come in one go or beside the current run's.

--- a/src/app/sidecar/sidecarnode.cpp
+++ b/src/app/sidecar/sidecarnode.cpp
@@ -193,8 +193,10 @@
     if (!upstream)
         return;
     upstream_report report = upstream->last_report;
-    if (source == leaving_source::upstream)
-        return m_upstream.deregister(report.instance, report.born_ms);
+    if (source == leaving_source::upstream) {
+        m_upstream.deregister(report.instance, report.born_ms);
+        return;
+    }
     report.leaving = true;
     m_upstream.restore(std::move(report));
 }
--- a/src/plugins/upstream/upstreamtracker.h
+++ b/src/plugins/upstream/upstreamtracker.h
@@ -18,7 +18,7 @@
     /// Increases with each report of one run of the upstream.
     std::uint64_t sequence = 0;
     /// Start time of the run in milliseconds since the Unix epoch, by the upstream's clock. It determines the order of
-    /// the runs.
+    /// the runs, unless that clock has been set back.
     std::int64_t born_ms = 0;
 };
 
@@ -31,7 +31,8 @@
 };
 
 /// Tracks the state of the upstream beside this node. Reports that are delayed, duplicated or from an earlier run are
-/// ignored.
+/// ignored. A run that seems to be earlier takes over if it goes on reporting while the current one is silent: the
+/// clock of the upstream was ahead when the current run started.
 class upstream_tracker {
 public:
     using listener = std::function<void(const tracked_upstream&)>;
@@ -41,24 +42,34 @@
     {
     }
 
-    /// Processes a report. Returns false if it is not newer than the current state; the receipt may be acknowledged to
-    /// the sender in either case.
+    /// Processes a report. Returns false if it was ignored, unless it repeats a known leave. An ignored report must not
+    /// be acknowledged if it says that the upstream is leaving.
     bool report(upstream_report report);
     /// Restores the state recorded by an earlier run of this node. Of an upstream that has reported meanwhile, only the
     /// fact that it is leaving is restored, which is final within a run.
     void restore(upstream_report report);
-    /// Marks the upstream as leaving. Ignored if the instance or run is not the current one.
-    void deregister(const std::string& instance, std::optional<std::int64_t> born_ms);
+    /// Marks the upstream as leaving. Returns false, and does nothing, if the instance or run is not the current one.
+    bool deregister(const std::string& instance, std::optional<std::int64_t> born_ms);
 
     const std::optional<tracked_upstream>& current() const { return m_current; }
 
 private:
     void restore_leaving(const upstream_report& report);
     bool is_newer(const upstream_report& report) const;
+    bool is_current_run(const upstream_report& report) const;
+    /// Whether a run with an earlier start time is the one that is running now.
+    bool takes_over(const upstream_report& report);
+
+    /// A run with an earlier start time than the current one.
+    struct earlier_run {
+        upstream_report last_report;
+        time_point first_report_time;
+    };
 
     const timer_service& m_timers;
     listener m_on_changed;
     std::optional<tracked_upstream> m_current;
+    std::optional<earlier_run> m_earlier_run;
 };
 
 } // namespace mulberry
--- a/tests/auto/plugins/upstream/tst_upstreamtracker.cpp
+++ b/tests/auto/plugins/upstream/tst_upstreamtracker.cpp
@@ -43,6 +43,51 @@
     BOOST_TEST(tracker.current()->last_report.instance == "i-2");
 }
 
+// The clock of the upstream was ahead when an earlier run started. The present run, which seems to be the earlier one,
+// must be able to leave.
+BOOST_FIXTURE_TEST_CASE(a_run_that_started_before_a_wrong_clock_takes_over, tracker_fixture)
+{
+    tracker.report(report("i-1", 5000, 1));
+    bool was_accepted = false;
+    for (std::uint64_t sequence = 1; sequence <= 5; ++sequence) {
+        timers.advance(1500ms);
+        was_accepted = tracker.report(report("i-1", 3000, sequence));
+    }
+    BOOST_TEST(was_accepted);
+    BOOST_TEST(tracker.current()->last_report.born_ms == 3000);
+    BOOST_TEST(tracker.report(report("i-1", 3000, 6, true)));
+    BOOST_TEST(tracker.current()->leaving_since.has_value());
+}
+
+// A leave that is ignored must not be acknowledged.
+BOOST_FIXTURE_TEST_CASE(an_ignored_leave_is_reported_as_such, tracker_fixture)
+{
+    tracker.report(report("i-1", 5000, 1));
+    BOOST_TEST(!tracker.report(report("i-1", 3000, 7, true)));
+    BOOST_TEST(!tracker.deregister("i-1", 3000));
+    BOOST_TEST(!tracker.deregister("i-2", 6000));
+    BOOST_TEST(!tracker.current()->leaving_since.has_value());
+    BOOST_TEST(tracker.deregister("i-1", 5000));
+    // A leave that is known is acknowledged again.
+    BOOST_TEST(tracker.report(report("i-1", 5000, 1, true)));
+}
+
+// Delayed reports of a run that has ended must not take over while the current run reports, nor when they come late in
+// one go.
+BOOST_FIXTURE_TEST_CASE(delayed_reports_do_not_take_over, tracker_fixture)
+{
+    tracker.report(report("i-1", 5000, 1));
+    for (std::uint64_t sequence = 2; sequence <= 8; ++sequence) {
+        timers.advance(1500ms);
+        BOOST_TEST(!tracker.report(report("i-0", 3000, sequence)));
+        BOOST_TEST(tracker.report(report("i-1", 5000, sequence)));
+    }
+    timers.advance(20s);
+    for (std::uint64_t sequence = 20; sequence <= 30; ++sequence)
+        BOOST_TEST(!tracker.report(report("i-9", 4000, sequence)));
+    BOOST_TEST(tracker.current()->last_report.instance == "i-1");
+}
+
 // An upstream may restart with the same instance id; the reports of the new run start a new sequence and must be
 // accepted.
 BOOST_FIXTURE_TEST_CASE(a_new_run_may_keep_its_id, tracker_fixture)
