Export the memory for messages in both daemons, and bound the names on a peer connection

Cause: mulberryd had no gauges of its memory for messages; the name and the secret that a stranger sends on a peer connection were held in full length.

--- a/src/app/metrics/daemonmetrics.cpp
+++ b/src/app/metrics/daemonmetrics.cpp
@@ -96,6 +96,16 @@
     }
 }
 
+void daemon_metrics::set_message_memory(const memory_budget& memory)
+{
+    set_gauge("mulberry_message_memory_bytes", "Memory in use for messages.", static_cast<double>(memory.in_use()));
+    set_gauge("mulberry_message_memory_refused", "Times that no memory was left for a message.",
+              static_cast<double>(memory.refused()));
+    set_gauge("mulberry_message_memory_reclaimed",
+              "Connections of slow callers that were closed because memory was short.",
+              static_cast<double>(memory.reclaimed()));
+}
+
 std::string daemon_metrics::text()
 {
     update_invariant_counters();
--- a/src/app/metrics/daemonmetrics.h
+++ b/src/app/metrics/daemonmetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libs/base/invariant.h"
+#include "libs/memory/memorybudget.h"
 #include "plugins/calls/requestobserver.h"
 
 #include <array>
@@ -30,6 +31,9 @@
     void set_gauge(const std::string& name, const std::string& help, double value, const std::string& label = {},
                    const std::string& label_value = {});
 
+    /// Sets the gauges of the memory for messages. Called for each scrape.
+    void set_message_memory(const memory_budget& memory);
+
     /// Returns all metrics in the text format.
     std::string text();
 
--- a/src/app/mulberryd/daemon.cpp
+++ b/src/app/mulberryd/daemon.cpp
@@ -246,7 +246,8 @@
     m_caller_frontend = make_caller_frontend(*m_node);
     m_nested_frontend = make_nested_frontend(*m_node);
     m_operator_api = std::make_unique<operator_api>(
-        operator_dependencies{*m_node, *m_control, peers(), *this, m_metrics, [this] { stop(); }}, m_credential);
+        operator_dependencies{*m_node, *m_control, peers(), *this, m_metrics, *m_message_memory, [this] { stop(); }},
+        m_credential);
     m_router.add(std::string(document_write_path), *m_operator_api);
 }
 
--- a/src/app/mulberryd/operatorapi.cpp
+++ b/src/app/mulberryd/operatorapi.cpp
@@ -218,6 +218,7 @@
     const auto age = owner.relay().age();
     metrics.set_gauge("mulberry_view_age_seconds", "Age of the view of the documents; -1 before the first view.",
                       age ? to_seconds(*age) : -1);
+    metrics.set_message_memory(m_dependencies.message_memory);
     metrics.set_gauge("mulberry_account_bytes", "Memory used by decision records.",
                       static_cast<double>(owner.account().bytes()));
     metrics.set_gauge("mulberry_idempotency_records", "Records of non-idempotent requests at this home.",
--- a/src/app/mulberryd/operatorapi.h
+++ b/src/app/mulberryd/operatorapi.h
@@ -19,6 +19,7 @@
     peer_caller& peers;
     const address_lookup& addresses;
     daemon_metrics& metrics;
+    const memory_budget& message_memory;
     std::function<void()> begin_drain;
 };
 
--- a/src/app/sidecar/sidecardaemon.cpp
+++ b/src/app/sidecar/sidecardaemon.cpp
@@ -178,13 +178,7 @@
         m_metrics.set_gauge("mulberry_upstream_rate_limit",
                             "Requests per second that this node's upstream accepts; -1 if it names no limit.",
                             guard.upstream_rate_limit().value_or(-1));
-        m_metrics.set_gauge("mulberry_message_memory_bytes", "Memory in use for messages.",
-                            static_cast<double>(m_message_memory.in_use()));
-        m_metrics.set_gauge("mulberry_message_memory_refused", "Messages for which no memory was left.",
-                            static_cast<double>(m_message_memory.refused()));
-        m_metrics.set_gauge("mulberry_message_memory_reclaimed",
-                            "Connections of slow callers that were closed because memory was short.",
-                            static_cast<double>(m_message_memory.reclaimed()));
+        m_metrics.set_message_memory(m_message_memory);
     }
 
     const sidecar_node& m_node;
--- a/src/libs/http1/http1clientconnection.cpp
+++ b/src/libs/http1/http1clientconnection.cpp
@@ -358,7 +358,7 @@
         response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     // The response has arrived, so it is not given up for its fields.
     static_cast<void>(m_reservation.resize(message.body().size() + held_bytes(response.headers)));
-    response.body = message_body(std::move(message.body()), std::move(m_reservation));
+    response.body = message_body(std::move(message.body()), m_reservation.take());
     finish(std::move(response), reusable);
 }
 
--- a/src/libs/http1/http1server.cpp
+++ b/src/libs/http1/http1server.cpp
@@ -136,7 +136,7 @@
         std::optional<http1_server_connection::eviction_order> first;
         for (const auto& connection : m_connections) {
             const auto order = connection->eviction(now);
-            if (!order || (first && *first <= *order) || connection->has_new_request())
+            if (!order || (first && !order->precedes(*first)) || connection->has_new_request())
                 continue;
             first = order;
             chosen = connection;
--- a/src/libs/http1/http1serverconnection.h
+++ b/src/libs/http1/http1serverconnection.h
@@ -5,7 +5,6 @@
 #include "libs/http1/receivedbody.h"
 #include "libs/http1/transferprogress.h"
 
-#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -56,7 +55,10 @@
         int rank = 0;
         std::uint64_t phase_number = 0;
 
-        auto operator<=>(const eviction_order&) const = default;
+        bool precedes(const eviction_order& other) const
+        {
+            return rank == other.rank ? phase_number < other.phase_number : rank < other.rank;
+        }
     };
     std::optional<eviction_order> eviction(transfer_progress::clock::time_point now) const;
     /// Whether an idle connection has received bytes that have not been read yet.
--- a/src/libs/memory/memorybudget.cpp
+++ b/src/libs/memory/memorybudget.cpp
@@ -31,7 +31,7 @@
 }
 
 memory_reservation::memory_reservation(memory_reservation&& other) noexcept
-    : m_budget(other.m_budget), m_bytes(std::exchange(other.m_bytes, 0))
+    : m_budget(std::move(other.m_budget)), m_bytes(std::exchange(other.m_bytes, 0))
 {
 }
 
@@ -40,7 +40,7 @@
     if (this == &other)
         return *this;
     release();
-    m_budget = other.m_budget;
+    m_budget = std::move(other.m_budget);
     m_bytes = std::exchange(other.m_bytes, 0);
     return *this;
 }
--- a/src/libs/memory/memorybudget.h
+++ b/src/libs/memory/memorybudget.h
@@ -74,6 +74,8 @@
     void release();
     /// Moves up to `bytes` bytes into a reservation of their own.
     memory_reservation split(std::size_t bytes);
+    /// Moves all bytes into a reservation of their own. Unlike a moved object, this one can be used further.
+    memory_reservation take() { return split(m_bytes); }
 
     std::size_t bytes() const { return m_bytes; }
 
--- a/src/libs/peer/serverconnection.cpp
+++ b/src/libs/peer/serverconnection.cpp
@@ -13,6 +13,8 @@
 using boost::system::error_code;
 
 constexpr std::size_t max_path_bytes = 1024;
+// Maximum size of the name and of the secret of a sender.
+constexpr std::size_t max_name_bytes = 256;
 
 } // namespace
 
@@ -187,10 +189,10 @@
         call->path = value.substr(0, max_path_bytes + 1);
     }
     else if (name == peer_name_field) {
-        call->sender_name = value;
+        call->sender_name = value.substr(0, max_name_bytes + 1);
     }
     else if (name == peer_credential_field) {
-        call->credential = value;
+        call->credential = value.substr(0, max_name_bytes + 1);
     }
     else if (name == "content-length") {
         std::size_t length = 0;
