Check the fields of a response once, not with each part of its body

Found by reading the change again: the status, the fields and the framing were checked after each read of a long body, although the head does not change once it is complete. Same behaviour: every head is still checked, in the read that completes it.

--- a/src/libs/http1/http1clientconnection.cpp
+++ b/src/libs/http1/http1clientconnection.cpp
@@ -245,6 +245,7 @@
         if (!m_head_checked)
             return m_buffer.size() > max_head_bytes ? fail(http_error::too_large) : read_more();
     }
+    const bool had_head = m_parser->is_header_done();
     error_code error;
     while (!error && !m_parser->is_done() && m_buffer.size() > 0)
         m_buffer.consume(m_parser->put(m_buffer.data(), error));
@@ -252,7 +253,7 @@
         return fail(http_error::too_large);
     if (error && error != http::error::need_more)
         return on_broken_message();
-    if (m_parser->is_header_done() && !has_sound_fields(m_parser->get()))
+    if (!had_head && m_parser->is_header_done() && !has_sound_fields(m_parser->get()))
         return on_broken_message();
     if (m_parser->is_done())
         return on_message_end();
